--- /dev/null
+++ b/crates/fake/src/demo.rs
@@ -0,0 +1,165 @@
+//! The whole system in one process, on the stand-ins.
+
+use std::{io, path::Path};
+
+use chestnut_conf::{Kind, ObjectKey, Settings, Stored};
+use chestnut_tier::{Front, Ports, SpawnError, Tier};
+use displaydoc::Display;
+use slog::Logger;
+
+use crate::{PlatformServer, TargetServer, World, WorldError};
+
+/// Why the demo can't start.
+#[derive(Debug, Display)]
+pub enum DemoError {
+    /// {0}
+    World(WorldError),
+    /// {0}
+    Settings(String),
+    /// can't bind: {0}. Is another demo running?
+    Bind(io::Error),
+    /// {0}
+    Spawn(SpawnError),
+    /// {0}: {1}
+    Object(String, String),
+}
+
+impl std::error::Error for DemoError {}
+
+/// One entry of the demo.
+pub struct DemoEntry {
+    /// The tier.
+    pub tier: Tier,
+    /// HTTP before it.
+    pub front: Front,
+}
+
+/// A running demo. Dropping it ends it.
+pub struct Demo {
+    /// The deployment.
+    pub world: World,
+    /// The platform.
+    pub platform: PlatformServer,
+    /// The leafs, in the order of the world.
+    pub targets: Vec<TargetServer>,
+    /// The entries, in the order of the world.
+    pub entries: Vec<DemoEntry>,
+}
+
+impl Demo {
+    /// Starts the deployment in `folder`: `world.toml`, `templates/*.json` and
+    /// `organisations/*.json`.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be read, or an address can't be bound.
+    pub async fn spawn(folder: &Path, log: &Logger) -> Result<Self, DemoError> {
+        let world = World::open(&folder.join("world.toml")).map_err(DemoError::World)?;
+        Self::spawn_world(world, folder, log).await
+    }
+
+    /// Starts `world` with the templates and organisations in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Demo::spawn`].
+    pub async fn spawn_world(world: World, folder: &Path, log: &Logger) -> Result<Self, DemoError> {
+        let platform = PlatformServer::bind_world(&world)
+            .await
+            .map_err(DemoError::Bind)?;
+        for (key, value) in objects_in(folder)? {
+            let name = key.to_string();
+            let put = platform.store().put(key, 0, value);
+            put.map_err(|e| DemoError::Object(name, e.to_string()))?;
+        }
+        let mut targets = Vec::new();
+        for leaf in world.leafs() {
+            let target = TargetServer::bind_leaf(&leaf).await;
+            targets.push(target.map_err(DemoError::Bind)?);
+        }
+        let mut entries = Vec::new();
+        for spec in &world.entry {
+            let text = world.settings_of(spec);
+            entries.push(spawn_entry(&text, log).await?);
+        }
+        Ok(Self {
+            world,
+            platform,
+            targets,
+            entries,
+        })
+    }
+
+    /// Waits until every entry serves.
+    pub async fn ready(&self) {
+        while !self.entries.iter().all(|entry| entry.tier.is_ready()) {
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    }
+}
+
+/// Starts one entry from the text of its settings.
+///
+/// # Errors
+///
+/// The settings are wrong, or an address can't be bound.
+pub async fn spawn_entry(text: &str, log: &Logger) -> Result<DemoEntry, DemoError> {
+    let settings = Settings::parse(text, Path::new("demo.toml"))
+        .map_err(|e| DemoError::Settings(e.to_string()))?;
+    let ports = Ports::open(&settings).await.map_err(DemoError::Bind)?;
+    let seed = settings.listen.peers.port().into();
+    let log = log.new(slog::o!("entry" => settings.entry.member.to_string()));
+    let tier = Tier::spawn(settings, log, ports, seed)
+        .await
+        .map_err(DemoError::Spawn)?;
+    let front = Front::bind(&tier).await.map_err(DemoError::Bind)?;
+    Ok(DemoEntry { tier, front })
+}
+
+type Written = (ObjectKey, serde_json::Value);
+
+/// Templates and organisations in a folder, wrapped as the platform keeps them.
+///
+/// # Errors
+///
+/// A file can't be read or is not JSON.
+pub fn objects_in(folder: &Path) -> Result<Vec<Written>, DemoError> {
+    let mut objects = Vec::new();
+    for (kind, name) in [
+        (Kind::Template, "templates"),
+        (Kind::Organisation, "organisations"),
+    ] {
+        let fail = |e: &dyn std::fmt::Display| DemoError::Object(name.to_owned(), e.to_string());
+        let mut files: Vec<_> = std::fs::read_dir(folder.join(name))
+            .map_err(|e| fail(&e))?
+            .filter_map(Result::ok)
+            .map(|file| file.path())
+            .collect();
+        files.sort();
+        for path in files {
+            let text = std::fs::read_to_string(&path).map_err(|e| fail(&e))?;
+            let spec = serde_json::from_str(&text).map_err(|e| fail(&e))?;
+            let stem = path.file_stem().unwrap_or_default().to_string_lossy();
+            let key = ObjectKey {
+                kind,
+                name: stem.into_owned(),
+            };
+            objects.push((key, stored(spec)));
+        }
+    }
+    Ok(objects)
+}
+
+fn stored(spec: serde_json::Value) -> serde_json::Value {
+    let stored = Stored {
+        spec,
+        edits: Vec::new(),
+    };
+    serde_json::to_value(stored).expect("plain JSON")
+}
+
+/// A logger that drops everything.
+#[must_use]
+pub fn no_log() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
--- /dev/null
+++ b/crates/fake/src/load.rs
@@ -0,0 +1,270 @@
+//! The load driver: queries in an open loop.
+//!
+//! Requests are sent when they are due, whether or not earlier ones have
+//! answered, so a slow system can't slow its own measurement down.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    path::Path,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use chestnut_port::{HttpClient, HttpError};
+use hdrhistogram::Histogram;
+use hyper::Method;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use serde_json::json;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+use crate::{Series, plot_lines};
+
+/// What to send.
+#[derive(Clone, Debug)]
+pub struct LoadConfig {
+    /// An entry to ask for the others.
+    pub first: SocketAddr,
+    /// Failure domain of the caller, if it has one.
+    pub domain: Option<String>,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long to send.
+    pub span: Duration,
+    /// The organisation.
+    pub organisation: String,
+    /// The service.
+    pub service: String,
+    /// The call types, each as likely as the others.
+    pub calls: Vec<String>,
+    /// Deadline of each request.
+    pub deadline: Duration,
+    /// Seed of the arrival times.
+    pub seed: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct LoadReport {
+    /// Requests sent.
+    pub sent: u64,
+    /// Whole answers.
+    pub whole: u64,
+    /// Answers that cover a part.
+    pub partial: u64,
+    /// Refusals by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Requests that got no HTTP answer.
+    pub failed: u64,
+    /// Mean share of shards in answers.
+    pub coverage: f64,
+    /// Milliseconds at quantiles of whole answers.
+    pub whole_ms: BTreeMap<String, f64>,
+    /// Milliseconds at the 99th percentile of refusals.
+    pub refused_p99_ms: f64,
+}
+
+const QUANTILES: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999)];
+/// Longest time in a histogram, in microseconds.
+const MAX_US: u64 = 120_000_000;
+/// Time beyond its deadline after which a request counts as failed.
+const SLACK: Duration = Duration::from_secs(2);
+
+struct Tally {
+    report: LoadReport,
+    whole: Histogram<u64>,
+    refused: Histogram<u64>,
+    covered: f64,
+    answers: u64,
+}
+
+impl Tally {
+    fn new() -> Self {
+        let empty = Histogram::new_with_max(MAX_US, 3).expect("constant bounds");
+        Self {
+            report: LoadReport::default(),
+            whole: empty.clone(),
+            refused: empty,
+            covered: 0.0,
+            answers: 0,
+        }
+    }
+
+    fn take(&mut self, reply: Result<chestnut_port::HttpReply, HttpError>, span: Duration) {
+        self.report.sent += 1;
+        let Ok(reply) = reply else {
+            self.report.failed += 1;
+            return;
+        };
+        let us = (span.as_micros() as u64).clamp(1, MAX_US);
+        let body = reply.json();
+        if let Some(reason) = body["reason"].as_str() {
+            *self.report.refused.entry(reason.to_owned()).or_default() += 1;
+            self.refused.saturating_record(us);
+            return;
+        }
+        let coverage = &body["coverage"];
+        let (Some(asked), Some(answered)) =
+            (coverage["asked"].as_f64(), coverage["answered"].as_f64())
+        else {
+            self.report.failed += 1;
+            return;
+        };
+        self.answers += 1;
+        self.covered += answered / asked.max(1.0);
+        if coverage["complete"] == true {
+            self.report.whole += 1;
+            self.whole.saturating_record(us);
+        } else {
+            self.report.partial += 1;
+        }
+    }
+
+    fn finish(mut self) -> (LoadReport, Histogram<u64>) {
+        self.report.coverage = self.covered / self.answers.max(1) as f64;
+        for (name, quantile) in QUANTILES {
+            let ms = self.whole.value_at_quantile(quantile) as f64 / 1e3;
+            self.report.whole_ms.insert(name.to_owned(), ms);
+        }
+        self.report.refused_p99_ms = self.refused.value_at_quantile(0.99) as f64 / 1e3;
+        (self.report, self.whole)
+    }
+}
+
+/// The entries as a caller knows them.
+struct Caller {
+    client: HttpClient,
+    first: SocketAddr,
+    domain: Option<String>,
+    known: Vec<SocketAddr>,
+    until: Instant,
+}
+
+impl Caller {
+    /// The entry to use now. The list is asked for anew when its time is over,
+    /// of an entry of the old list, or of the first one.
+    async fn entry(&mut self) -> SocketAddr {
+        if Instant::now() >= self.until {
+            self.refresh().await;
+        }
+        self.known.first().copied().unwrap_or(self.first)
+    }
+
+    async fn refresh(&mut self) {
+        let path = match &self.domain {
+            Some(domain) => format!("/v1/entries?domain={domain}"),
+            None => "/v1/entries".to_owned(),
+        };
+        let mut ask = self.known.clone();
+        ask.push(self.first);
+        for address in ask {
+            let wait = Duration::from_secs(1);
+            let call = self
+                .client
+                .call(Method::GET, address, &path, Bytes::new(), wait);
+            let Ok(reply) = call.await else {
+                continue;
+            };
+            let body = reply.json();
+            let entries = body["entries"].as_array().cloned().unwrap_or_default();
+            let parse = |e: &serde_json::Value| e["address"].as_str()?.parse().ok();
+            let known: Vec<SocketAddr> = entries.iter().filter_map(parse).collect();
+            if known.is_empty() {
+                continue;
+            }
+            self.known = known;
+            let ttl = body["ttl_ms"].as_u64().unwrap_or(1000);
+            self.until = Instant::now() + Duration::from_millis(ttl);
+            return;
+        }
+    }
+}
+
+/// Sends the load and reports. With `plot` it also writes the latency
+/// distribution as SVG.
+///
+/// # Errors
+///
+/// The plot can't be written.
+pub async fn run(config: LoadConfig, plot: Option<&Path>) -> Result<LoadReport, String> {
+    let tally = Arc::new(Mutex::new(Tally::new()));
+    let client = HttpClient::default();
+    let mut caller = Caller {
+        client: client.clone(),
+        first: config.first,
+        domain: config.domain.clone(),
+        known: Vec::new(),
+        until: Instant::now(),
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
+    let start = Instant::now();
+    let mut due = start;
+    let mut requests = JoinSet::new();
+    while due < start + config.span {
+        sleep_until(due).await;
+        let entry = caller.entry().await;
+        let body = body_of(&config, &mut rng);
+        let (client, tally) = (client.clone(), tally.clone());
+        let wait = config.deadline + SLACK;
+        requests.spawn(async move {
+            let sent = Instant::now();
+            let reply = client
+                .call(Method::POST, entry, "/v1/query", body, wait)
+                .await;
+            let span = sent.elapsed();
+            tally
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .take(reply, span);
+        });
+        while requests.try_join_next().is_some() {}
+        let unit = (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+        due += Duration::from_secs_f64(-(1.0 - unit).ln() / config.rate);
+    }
+    while requests.join_next().await.is_some() {}
+    let tally = Arc::into_inner(tally).expect("every request has ended");
+    let (report, whole) = tally
+        .into_inner()
+        .unwrap_or_else(PoisonError::into_inner)
+        .finish();
+    if let Some(path) = plot {
+        plot_latency(path, &whole)?;
+    }
+    Ok(report)
+}
+
+fn body_of(config: &LoadConfig, rng: &mut ChaCha8Rng) -> Bytes {
+    let call = &config.calls[rng.next_u64() as usize % config.calls.len()];
+    let body = json!({
+        "organisation": config.organisation,
+        "service": config.service,
+        "call": call,
+        "deadline_ms": config.deadline.as_millis() as u64,
+        "query": { "q": "all" },
+    });
+    Bytes::from(body.to_string())
+}
+
+fn plot_latency(path: &Path, whole: &Histogram<u64>) -> Result<(), String> {
+    let point = |permille: u32| {
+        let share = f64::from(permille) / 1000.0;
+        let ms = whole.value_at_quantile(share) as f64 / 1e3;
+        (share * 100.0, ms)
+    };
+    let series = Series {
+        name: "whole answers".to_owned(),
+        points: (0..=999).map(point).collect(),
+    };
+    plot_lines(
+        path,
+        "Latency by quantile",
+        ("percent of answers", "ms"),
+        &[series],
+    )
+}
--- /dev/null
+++ b/crates/fake/src/main.rs
@@ -0,0 +1,235 @@
+//! `chestnut-fake`: the stand-ins, the load driver and the demo.
+
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+
+use chestnut_fake::{
+    PlatformServer, TargetServer, World,
+    demo::{Demo, objects_in},
+    load::{self, LoadConfig},
+};
+use chestnut_unit::parse_span;
+use clap::{Parser, Subcommand};
+use slog::{Drain, Logger, o};
+use tokio::signal::ctrl_c;
+
+/// Stand-ins for the systems around chestnutpost, its load driver and a demo
+/// of the whole in one process.
+///
+/// Nothing here is part of a deployment.
+#[derive(Parser)]
+#[command(name = "chestnut-fake", version, max_term_width = 90)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a whole deployment in this process until Ctrl-C.
+    ///
+    /// Prints the entries' addresses and a command to try.
+    Demo {
+        /// Folder with world.toml, templates/ and organisations/.
+        #[arg(long, default_value = "examples/flipperhouse")]
+        folder: PathBuf,
+        /// Print the entries' log lines, routing decisions apart.
+        #[arg(long)]
+        log: bool,
+    },
+    /// Run the platform of a deployment until Ctrl-C.
+    Platform {
+        /// Folder with world.toml, templates/ and organisations/.
+        #[arg(long)]
+        folder: PathBuf,
+    },
+    /// Run the leafs of a deployment in this process until Ctrl-C.
+    Targets {
+        /// Folder with world.toml.
+        #[arg(long)]
+        folder: PathBuf,
+        /// Only the leafs whose name starts with this.
+        #[arg(long, default_value = "")]
+        only: String,
+    },
+    /// Write the settings of each entry of a deployment to a folder.
+    Settings {
+        /// Folder with world.toml.
+        #[arg(long)]
+        folder: PathBuf,
+        /// Folder to write to; one file for each entry.
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Send queries in an open loop and report latency, coverage and refusals.
+    Load(LoadArgs),
+}
+
+#[derive(clap::Args)]
+struct LoadArgs {
+    /// An entry to ask for the others.
+    #[arg(long, default_value = "127.0.0.1:7101")]
+    entry: SocketAddr,
+    /// Failure domain of the caller.
+    #[arg(long)]
+    domain: Option<String>,
+    /// Requests a second.
+    #[arg(long, default_value_t = 50.0)]
+    rate: f64,
+    /// How long to send: 10s, 2m.
+    #[arg(long, default_value = "10s", value_parser = span)]
+    span: Duration,
+    /// The organisation.
+    #[arg(long, default_value = "galway-flippers")]
+    organisation: String,
+    /// The service.
+    #[arg(long, default_value = "ladder")]
+    service: String,
+    /// The call types, separated by commas; each is as likely as the others.
+    #[arg(long, default_value = "standings", value_delimiter = ',')]
+    calls: Vec<String>,
+    /// Deadline of each request.
+    #[arg(long, default_value = "500ms", value_parser = span)]
+    deadline: Duration,
+    /// Seed of the arrival times.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Write the latency distribution to this file, as SVG.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
+fn span(text: &str) -> Result<Duration, String> {
+    parse_span(text).map_err(|e| e.to_string())
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(Args::parse().command).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("chestnut-fake: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+type Failure = Box<dyn std::error::Error>;
+
+async fn run(command: Command) -> Result<(), Failure> {
+    match command {
+        Command::Demo { folder, log } => demo(&folder, log).await,
+        Command::Platform { folder } => platform(&folder).await,
+        Command::Targets { folder, only } => targets(&folder, &only).await,
+        Command::Settings { folder, out } => settings(&folder, &out),
+        Command::Load(args) => drive(args).await,
+    }
+}
+
+async fn demo(folder: &std::path::Path, log: bool) -> Result<(), Failure> {
+    let demo = Demo::spawn(folder, &logger(log)).await?;
+    demo.ready().await;
+    println!("platform   {}", demo.platform.address());
+    println!("targets    {} leafs", demo.targets.len());
+    for (entry, spec) in demo.entries.iter().zip(&demo.world.entry) {
+        let (callers, operators) = (entry.front.callers(), entry.front.operators());
+        println!(
+            "entry      {} callers {callers} operators {operators}",
+            spec.member
+        );
+    }
+    let first = demo.entries.first().ok_or("the world has no entry")?;
+    let (callers, operators) = (first.front.callers(), first.front.operators());
+    println!("\nTry:\n  curl -s http://{callers}/v1/entries");
+    if let Some((org, service, call)) = sample(folder) {
+        println!(
+            "  curl -s http://{callers}/v1/query -d \
+             '{{\"organisation\":\"{org}\",\"service\":\"{service}\",\"call\":\"{call}\"}}'"
+        );
+    }
+    println!("  cargo run --release -p chestnut-cli -- --entry {operators} status");
+    println!("\nCtrl-C ends it.");
+    ctrl_c().await?;
+    Ok(())
+}
+
+/// An organisation of the folder with a query that it may make.
+fn sample(folder: &std::path::Path) -> Option<(String, String, String)> {
+    let objects = objects_in(folder).ok()?;
+    let spec_of = |kind: chestnut_conf::Kind, name: &str| {
+        let here = |(key, _): &&(chestnut_conf::ObjectKey, serde_json::Value)| {
+            key.kind == kind && (name.is_empty() || key.name == name)
+        };
+        let (key, value) = objects.iter().find(here)?;
+        Some((key.name.clone(), value["spec"].clone()))
+    };
+    let (org, spec) = spec_of(chestnut_conf::Kind::Organisation, "")?;
+    let template = spec["template"].as_str()?;
+    let (_, template) = spec_of(chestnut_conf::Kind::Template, template)?;
+    let calls = template["calls"].as_object()?;
+    let (call, body) = calls.iter().find(|(_, call)| call["kind"] == "query")?;
+    let service = body["services"][0].as_str()?;
+    Some((org, service.to_owned(), call.clone()))
+}
+
+async fn platform(folder: &std::path::Path) -> Result<(), Failure> {
+    let world = World::open(&folder.join("world.toml"))?;
+    let server = PlatformServer::bind_world(&world).await?;
+    for (key, value) in objects_in(folder)? {
+        server.store().put(key, 0, value)?;
+    }
+    println!("platform {}", server.address());
+    ctrl_c().await?;
+    Ok(())
+}
+
+async fn targets(folder: &std::path::Path, only: &str) -> Result<(), Failure> {
+    let world = World::open(&folder.join("world.toml"))?;
+    let mut servers = Vec::new();
+    for leaf in world.leafs() {
+        if leaf.id.as_str().starts_with(only) {
+            servers.push(TargetServer::bind_leaf(&leaf).await?);
+        }
+    }
+    println!("targets {}", servers.len());
+    ctrl_c().await?;
+    Ok(())
+}
+
+fn settings(folder: &std::path::Path, out: &std::path::Path) -> Result<(), Failure> {
+    let world = World::open(&folder.join("world.toml"))?;
+    std::fs::create_dir_all(out)?;
+    for entry in &world.entry {
+        let path = out.join(format!("{}.toml", entry.member));
+        std::fs::write(&path, world.settings_of(entry))?;
+        println!("{}", path.display());
+    }
+    Ok(())
+}
+
+async fn drive(args: LoadArgs) -> Result<(), Failure> {
+    let config = LoadConfig {
+        first: args.entry,
+        domain: args.domain,
+        rate: args.rate,
+        span: args.span,
+        organisation: args.organisation,
+        service: args.service,
+        calls: args.calls,
+        deadline: args.deadline,
+        seed: args.seed,
+    };
+    let report = load::run(config, args.plot.as_deref()).await?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
+    Ok(())
+}
+
+fn logger(on: bool) -> Logger {
+    if !on {
+        return chestnut_fake::demo::no_log();
+    }
+    let decorator = slog_term::TermDecorator::new().stderr().build();
+    let drain = slog_term::CompactFormat::new(decorator).build();
+    let drain = std::sync::Mutex::new(drain);
+    let drain = slog::LevelFilter::new(drain, slog::Level::Info).fuse();
+    Logger::root(drain, o!())
+}
--- /dev/null
+++ b/crates/fake/src/platform.rs
@@ -0,0 +1,270 @@
+//! The platform stand-in over HTTP.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use chestnut_conf::{Kind, ObjectKey};
+use chestnut_port::{Clock, PlatformError};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo},
+    server::conn::auto,
+};
+use serde::Serialize;
+use serde_json::json;
+use tokio::{
+    net::TcpListener,
+    sync::Notify,
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
+
+use crate::{Store, World};
+
+/// Longest wait of a watch.
+const WATCH_MAX: Duration = Duration::from_secs(60);
+
+struct Inner {
+    store: Mutex<Store>,
+    changed: Notify,
+    clock: Clock,
+}
+
+/// The platform stand-in. Dropping it ends it.
+pub struct PlatformServer {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for PlatformServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+type Reply = Response<Full<Bytes>>;
+
+impl PlatformServer {
+    /// Serves an empty platform.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Inner {
+            store: Mutex::new(Store::default()),
+            changed: Notify::new(),
+            clock: Clock::start(),
+        });
+        let task = tokio::spawn(accept(listener, inner.clone()));
+        Ok(Self {
+            inner,
+            address,
+            task,
+        })
+    }
+
+    /// Serves a platform that holds the services, layouts and VMs of `world`.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind_world(world: &World) -> io::Result<Self> {
+        let server = Self::bind(world.platform).await?;
+        {
+            let mut store = server.store();
+            for (key, value) in world.objects() {
+                store.put(key, 0, value).map_err(io::Error::other)?;
+            }
+            store.set_vms(world.vms(), server.inner.clock.now());
+        }
+        Ok(server)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its state, for tests in the same process.
+    pub fn store(&self) -> MutexGuard<'_, Store> {
+        lock(&self.inner.store)
+    }
+
+    /// Waits until the server ends, which it does not by itself.
+    pub async fn run(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+fn lock(store: &Mutex<Store>) -> MutexGuard<'_, Store> {
+    store.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Inner>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let inner = inner.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let inner = inner.clone();
+                async move { Ok::<_, std::convert::Infallible>(handle(&inner, request).await) }
+            });
+            let _ = auto::Builder::new(TokioExecutor::new())
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn handle(inner: &Inner, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    let query = request.uri().query().unwrap_or("").to_owned();
+    let method = request.method().clone();
+    let body = match request.into_body().collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(_) => return reply(StatusCode::BAD_REQUEST, &json!({ "error": "no body" })),
+    };
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    if parts.first() == Some(&"control") {
+        return control(inner, &method, &parts, &body);
+    }
+    let slow = lock(&inner.store).fault.slow_ms;
+    sleep(Duration::from_millis(slow)).await;
+    match (method, parts.as_slice()) {
+        (Method::GET, ["vms"]) => {
+            let now = inner.clock.now();
+            answer(lock(&inner.store).vms(now))
+        }
+        (Method::GET, ["objects", kind]) => match kind.parse() {
+            Ok(kind) => answer(lock(&inner.store).list(kind)),
+            Err(_) => not_found(),
+        },
+        (Method::GET, ["objects", kind, name]) => match key(kind, name) {
+            Some(key) => found(lock(&inner.store).get(&key)),
+            None => not_found(),
+        },
+        (Method::PUT, ["objects", kind, name]) => match key(kind, name) {
+            Some(key) => put(inner, key, &query, &body),
+            None => not_found(),
+        },
+        (Method::GET, ["watch", kind]) => match kind.parse() {
+            Ok(kind) => watch(inner, kind, &query).await,
+            Err(_) => not_found(),
+        },
+        _ => not_found(),
+    }
+}
+
+fn key(kind: &str, name: &str) -> Option<ObjectKey> {
+    Some(ObjectKey {
+        kind: kind.parse().ok()?,
+        name: name.to_owned(),
+    })
+}
+
+fn put(inner: &Inner, key: ObjectKey, query: &str, body: &[u8]) -> Reply {
+    let Ok(value) = serde_json::from_slice(body) else {
+        return reply(StatusCode::BAD_REQUEST, &json!({ "error": "not JSON" }));
+    };
+    let expected = number(query, "if_version").unwrap_or(0);
+    let written = lock(&inner.store).put(key, expected, value);
+    inner.changed.notify_waiters();
+    answer(written.map(|version| json!({ "version": version })))
+}
+
+async fn watch(inner: &Inner, kind: Kind, query: &str) -> Reply {
+    let after = number(query, "after").unwrap_or(0);
+    let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0)).min(WATCH_MAX);
+    lock(&inner.store).counts.watches += 1;
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = inner.changed.notified();
+        let changes = lock(&inner.store).changes(kind, after);
+        match &changes {
+            Ok(some) if some.objects.is_empty() && tokio::time::Instant::now() < until => {}
+            _ => return answer(changes),
+        }
+        let left = until - tokio::time::Instant::now();
+        let _ = timeout(left, changed).await;
+    }
+}
+
+fn control(inner: &Inner, method: &Method, parts: &[&str], body: &[u8]) -> Reply {
+    let bad =
+        |e: serde_json::Error| reply(StatusCode::BAD_REQUEST, &json!({ "error": e.to_string() }));
+    match (method, parts) {
+        (&Method::PUT, ["control", "vms"]) => match serde_json::from_slice(body) {
+            Ok(vms) => {
+                lock(&inner.store).set_vms(vms, inner.clock.now());
+                reply(StatusCode::OK, &json!({}))
+            }
+            Err(error) => bad(error),
+        },
+        (&Method::GET, ["control", "vms"]) => reply(StatusCode::OK, &lock(&inner.store).true_vms()),
+        (&Method::PUT, ["control", "fault"]) => match serde_json::from_slice(body) {
+            Ok(fault) => {
+                lock(&inner.store).fault = fault;
+                // Waiting watches end with an outage.
+                inner.changed.notify_waiters();
+                reply(StatusCode::OK, &json!({}))
+            }
+            Err(error) => bad(error),
+        },
+        (&Method::GET, ["control", "counts"]) => reply(StatusCode::OK, &lock(&inner.store).counts),
+        _ => not_found(),
+    }
+}
+
+fn number(query: &str, name: &str) -> Option<u64> {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+fn answer<T: Serialize>(result: Result<T, PlatformError>) -> Reply {
+    match result {
+        Ok(value) => reply(StatusCode::OK, &value),
+        Err(PlatformError::Conflict { current }) => {
+            reply(StatusCode::CONFLICT, &json!({ "version": current }))
+        }
+        Err(error) => {
+            let body = json!({ "error": error.to_string() });
+            reply(StatusCode::SERVICE_UNAVAILABLE, &body)
+        }
+    }
+}
+
+fn found<T: Serialize>(result: Result<Option<T>, PlatformError>) -> Reply {
+    match result {
+        Ok(None) => not_found(),
+        other => answer(other),
+    }
+}
+
+fn not_found() -> Reply {
+    reply(StatusCode::NOT_FOUND, &json!({ "error": "not found" }))
+}
+
+fn reply<T: Serialize>(status: StatusCode, body: &T) -> Reply {
+    let text = serde_json::to_vec(body).expect("plain JSON");
+    let mut reply = Response::new(Full::new(Bytes::from(text)));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/fake/src/plot.rs
@@ -0,0 +1,74 @@
+//! Plots for reports.
+
+use std::path::Path;
+
+use plotters::prelude::{
+    ChartBuilder, Color, IntoDrawingArea, LineSeries, Palette, Palette99, SVGBackend, WHITE,
+};
+
+/// One line of a plot.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Series {
+    /// Its name in the legend.
+    pub name: String,
+    /// Its points.
+    pub points: Vec<(f64, f64)>,
+}
+
+const SIZE: (u32, u32) = (900, 540);
+
+/// Writes a plot of lines as SVG. SVG needs no font of the machine.
+///
+/// # Errors
+///
+/// The file can't be written, or there is nothing to plot.
+pub fn plot_lines(
+    path: &Path,
+    title: &str,
+    axes: (&str, &str),
+    series: &[Series],
+) -> Result<(), String> {
+    let points = || series.iter().flat_map(|s| &s.points);
+    if points().next().is_none() {
+        return Err("there is nothing to plot".to_owned());
+    }
+    let bound = |of: fn(&(f64, f64)) -> f64| {
+        let low = points().map(of).fold(f64::INFINITY, f64::min);
+        let high = points().map(of).fold(f64::NEG_INFINITY, f64::max);
+        (low.min(0.0), (high * 1.05).max(low + 1e-6))
+    };
+    let (x, y) = (bound(|p| p.0), bound(|p| p.1));
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    let fail = |e: &dyn std::fmt::Display| e.to_string();
+    root.fill(&WHITE).map_err(|e| fail(&e))?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 20))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(60)
+        .build_cartesian_2d(x.0..x.1, y.0..y.1)
+        .map_err(|e| fail(&e))?;
+    chart
+        .configure_mesh()
+        .x_desc(axes.0)
+        .y_desc(axes.1)
+        .draw()
+        .map_err(|e| fail(&e))?;
+    for (number, line) in series.iter().enumerate() {
+        let color = Palette99::pick(number).to_rgba();
+        let drawn = LineSeries::new(line.points.iter().copied(), color.stroke_width(2));
+        chart
+            .draw_series(drawn)
+            .map_err(|e| fail(&e))?
+            .label(&line.name)
+            .legend(move |(x, y)| {
+                plotters::prelude::PathElement::new(vec![(x, y), (x + 18, y)], color)
+            });
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .draw()
+        .map_err(|e| fail(&e))?;
+    root.present().map_err(|e| fail(&e))
+}
--- /dev/null
+++ b/crates/fake/src/target.rs
@@ -0,0 +1,512 @@
+//! The stand-in for a leaf.
+
+use std::{
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use chestnut_unit::{IndexVersion, LeafId, ShardName};
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, value::RawValue};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    task::JoinHandle,
+    time::sleep,
+};
+
+use crate::{LeafSpec, Silence, gate::Gated};
+
+/// How a leaf behaves. All of it can be changed while it runs.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TargetConfig {
+    /// Median milliseconds of a call.
+    pub median_ms: f64,
+    /// Share of calls that straggle.
+    pub straggle: f64,
+    /// Factor on the time of a straggler.
+    pub factor: f64,
+    /// Factor on every call: a slow leaf.
+    pub slow: f64,
+    /// Calls that wait for a slot before others are shed.
+    pub queue: usize,
+    /// Milliseconds to open a connection.
+    pub open_ms: u64,
+    /// Connections accepted.
+    pub connections: usize,
+    /// Whether it says that it is leaving.
+    pub draining: bool,
+    /// Whether it refuses new work, draining.
+    pub closed: bool,
+    /// Whether submissions take effect and their answer is lost.
+    pub lose_answers: bool,
+    /// Whether its health and load endpoint tells the opposite of the truth.
+    pub lies: bool,
+    /// Whether calls wait until this turns false.
+    pub frozen: bool,
+    /// Shards it holds, by index version.
+    pub shards: BTreeMap<IndexVersion, Vec<ShardName>>,
+}
+
+impl Default for TargetConfig {
+    fn default() -> Self {
+        Self {
+            median_ms: 1.0,
+            straggle: 0.0,
+            factor: 1.0,
+            slow: 1.0,
+            queue: 64,
+            open_ms: 0,
+            connections: 40,
+            draining: false,
+            closed: false,
+            lose_answers: false,
+            lies: false,
+            frozen: false,
+            shards: BTreeMap::new(),
+        }
+    }
+}
+
+/// What a leaf has done, by its own account.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLedger {
+    /// Query calls run.
+    pub queries: u64,
+    /// Calls refused unrun.
+    pub refused: u64,
+    /// Times that each submission took effect, by its `id` field.
+    pub applied: BTreeMap<String, u64>,
+    /// Connections open now.
+    pub connections: usize,
+    /// Most connections open at once.
+    pub connections_peak: usize,
+    /// Calls that came while the leaf was closed or draining, after a grace of
+    /// three seconds from the change.
+    pub late_calls: u64,
+}
+
+struct Inner {
+    id: LeafId,
+    config: watch::Sender<TargetConfig>,
+    slots: Semaphore,
+    slot_count: usize,
+    ledger: Mutex<TargetLedger>,
+    silences: Mutex<Vec<Silence>>,
+    left: Mutex<Option<tokio::time::Instant>>,
+    draws: AtomicU64,
+    waiting: AtomicUsize,
+}
+
+/// Grace after a leaf starts leaving, within which new calls are not counted
+/// against the tier.
+const LEAVE_GRACE: Duration = Duration::from_secs(3);
+/// Spread of the time of a call around its median: one standard deviation of
+/// its logarithm.
+const SPREAD: f64 = 0.25;
+
+/// The stand-in for a leaf. Dropping it ends it and closes its connections.
+pub struct TargetServer {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+    task: JoinHandle<()>,
+    connections: Arc<watch::Sender<()>>,
+}
+
+impl Drop for TargetServer {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.connections.send_replace(());
+    }
+}
+
+type Reply = Response<Full<Bytes>>;
+
+impl TargetServer {
+    /// Serves the leaf `id` with `slots` slots.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind(
+        id: LeafId,
+        address: SocketAddr,
+        slots: u32,
+        config: TargetConfig,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let inner = Arc::new(Inner {
+            id,
+            config: watch::Sender::new(config),
+            slots: Semaphore::new(slots as usize),
+            slot_count: slots as usize,
+            ledger: Mutex::new(TargetLedger::default()),
+            silences: Mutex::new(Vec::new()),
+            left: Mutex::new(None),
+            draws: AtomicU64::new(1),
+            waiting: AtomicUsize::new(0),
+        });
+        let connections = Arc::new(watch::Sender::new(()));
+        let task = tokio::spawn(accept(listener, inner.clone(), connections.clone()));
+        Ok(Self {
+            inner,
+            address,
+            task,
+            connections,
+        })
+    }
+
+    /// Serves a leaf of a world.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind_leaf(leaf: &LeafSpec) -> io::Result<Self> {
+        let config = TargetConfig {
+            median_ms: leaf.median.as_secs_f64() * 1e3,
+            open_ms: leaf.open.as_millis() as u64,
+            connections: leaf.connections as usize,
+            shards: BTreeMap::from([(IndexVersion(1), leaf.shards.clone())]),
+            ..TargetConfig::default()
+        };
+        Self::bind(leaf.id.clone(), leaf.address, leaf.slots, config).await
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves.
+    pub fn change(&self, change: impl FnOnce(&mut TargetConfig)) {
+        self.inner.change(change);
+    }
+
+    /// What it has done.
+    #[must_use]
+    pub fn ledger(&self) -> TargetLedger {
+        lock(&self.inner.ledger).clone()
+    }
+
+    /// Silences every connection that is open now; new ones work.
+    pub fn silence(&self) {
+        for silence in lock(&self.inner.silences).drain(..) {
+            silence.fall();
+        }
+    }
+
+    /// Waits until the server ends, which it does not by itself.
+    pub async fn run(mut self) {
+        let _ = (&mut self.task).await;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Inner {
+    fn change(&self, change: impl FnOnce(&mut TargetConfig)) {
+        self.config.send_modify(change);
+        let config = self.config.borrow();
+        let mut left = lock(&self.left);
+        if config.draining || config.closed {
+            left.get_or_insert_with(tokio::time::Instant::now);
+        } else {
+            *left = None;
+        }
+    }
+
+    fn rng(&self) -> ChaCha8Rng {
+        let mut seed = seed_of(self.id.as_str());
+        seed ^= self.draws.fetch_add(1, Ordering::Relaxed);
+        ChaCha8Rng::seed_from_u64(seed)
+    }
+
+    /// The time of one call.
+    fn service_time(&self) -> Duration {
+        let config = self.config.borrow();
+        let mut rng = self.rng();
+        let mut ms = config.median_ms * (SPREAD * normal(&mut rng)).exp() * config.slow;
+        if unit(&mut rng) < config.straggle {
+            ms *= config.factor;
+        }
+        Duration::from_secs_f64(ms / 1e3)
+    }
+}
+
+fn seed_of(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+    })
+}
+
+fn unit(rng: &mut impl Rng) -> f64 {
+    (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// A standard normal draw, by the Box-Muller transform.
+fn normal(rng: &mut impl Rng) -> f64 {
+    let radius = (-2.0 * (1.0 - unit(rng)).ln()).sqrt();
+    radius * (std::f64::consts::TAU * unit(rng)).cos()
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Inner>, end: Arc<watch::Sender<()>>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let most = inner.config.borrow().connections;
+        {
+            let mut ledger = lock(&inner.ledger);
+            if ledger.connections >= most {
+                // Refused by closing it: the other end sees that nothing ran.
+                continue;
+            }
+            ledger.connections += 1;
+            ledger.connections_peak = ledger.connections_peak.max(ledger.connections);
+        }
+        let (inner, mut end) = (inner.clone(), end.subscribe());
+        tokio::spawn(async move {
+            tokio::select! {
+                () = serve(stream, inner.clone()) => {}
+                _ = end.changed() => {}
+            }
+            lock(&inner.ledger).connections -= 1;
+        });
+    }
+}
+
+async fn serve(stream: TcpStream, inner: Arc<Inner>) {
+    let open = inner.config.borrow().open_ms;
+    sleep(Duration::from_millis(open)).await;
+    let _ = stream.set_nodelay(true);
+    let silence = Silence::default();
+    {
+        let mut silences = lock(&inner.silences);
+        silences.push(silence.clone());
+    }
+    let stream = Gated { stream, silence };
+    let service = service_fn(move |request| {
+        let inner = inner.clone();
+        async move { Ok::<_, std::convert::Infallible>(handle(&inner, request).await) }
+    });
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder.http2().timer(TokioTimer::new());
+    let _ = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn handle(inner: &Inner, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let Ok(body) = request.into_body().collect().await else {
+        return refuse(inner, "shed");
+    };
+    let body = body.to_bytes();
+    match (method, path.as_str()) {
+        (Method::POST, "/query") => query(inner, &body).await,
+        (Method::POST, "/submit") => submit(inner, &body).await,
+        (Method::POST, "/state") => state(inner),
+        (Method::GET, "/control/ledger") => reply(StatusCode::OK, &*lock(&inner.ledger)),
+        (Method::GET, "/control/config") => reply(StatusCode::OK, &*inner.config.borrow()),
+        (Method::PUT, "/control/config") => match serde_json::from_slice(&body) {
+            Ok(config) => {
+                inner.change(|now| *now = config);
+                reply(StatusCode::OK, &json!({}))
+            }
+            Err(error) => reply(
+                StatusCode::BAD_REQUEST,
+                &json!({ "error": error.to_string() }),
+            ),
+        },
+        (Method::POST, "/control/silence") => {
+            for silence in lock(&inner.silences).drain(..) {
+                silence.fall();
+            }
+            reply(StatusCode::OK, &json!({}))
+        }
+        _ => reply(StatusCode::NOT_FOUND, &json!({ "error": "not found" })),
+    }
+}
+
+#[derive(Deserialize)]
+struct QueryCall {
+    version: IndexVersion,
+    shards: Vec<ShardName>,
+    deadline_ms: u64,
+}
+
+async fn query(inner: &Inner, body: &[u8]) -> Reply {
+    let Ok(call) = serde_json::from_slice::<QueryCall>(body) else {
+        return reply(
+            StatusCode::BAD_REQUEST,
+            &json!({ "error": "not a query call" }),
+        );
+    };
+    count_late(inner);
+    thaw(inner).await;
+    if inner.config.borrow().closed {
+        return refuse(inner, "draining");
+    }
+    if !holds(inner, &call) {
+        return refuse(inner, "no_snapshot");
+    }
+    let Some(_slot) = slot(inner, call.deadline_ms).await else {
+        return refuse(inner, "shed");
+    };
+    sleep(inner.service_time()).await;
+    thaw(inner).await;
+    // Gone while it ran: the answer would be of no version at all.
+    if !holds(inner, &call) {
+        return refuse(inner, "no_snapshot");
+    }
+    lock(&inner.ledger).queries += 1;
+    let part = |shard: &ShardName| {
+        json!({ "shard": shard, "rows": [{
+            "shard": shard, "version": call.version, "leaf": inner.id,
+        }] })
+    };
+    let parts: Vec<_> = call.shards.iter().map(part).collect();
+    let draining = inner.config.borrow().draining;
+    let body = json!({ "version": call.version, "parts": parts, "draining": draining });
+    reply(StatusCode::OK, &body)
+}
+
+fn holds(inner: &Inner, call: &QueryCall) -> bool {
+    let config = inner.config.borrow();
+    let held = config.shards.get(&call.version);
+    held.is_some_and(|held| call.shards.iter().all(|shard| held.contains(shard)))
+}
+
+#[derive(Deserialize)]
+struct SubmitCall<'a> {
+    deadline_ms: u64,
+    #[serde(borrow)]
+    body: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct Identified {
+    id: String,
+}
+
+async fn submit(inner: &Inner, body: &[u8]) -> Reply {
+    let Ok(call) = serde_json::from_slice::<SubmitCall<'_>>(body) else {
+        return reply(
+            StatusCode::BAD_REQUEST,
+            &json!({ "error": "not a submit call" }),
+        );
+    };
+    count_late(inner);
+    thaw(inner).await;
+    if inner.config.borrow().closed {
+        return refuse(inner, "draining");
+    }
+    let Some(_slot) = slot(inner, call.deadline_ms).await else {
+        return refuse(inner, "shed");
+    };
+    sleep(inner.service_time()).await;
+    thaw(inner).await;
+    let id = serde_json::from_str::<Identified>(call.body.get()).map(|i| i.id);
+    let id = id.unwrap_or_else(|_| call.body.get().to_owned());
+    *lock(&inner.ledger).applied.entry(id).or_default() += 1;
+    if inner.config.borrow().lose_answers {
+        std::future::pending::<()>().await;
+    }
+    reply(
+        StatusCode::OK,
+        &json!({ "accepted": true, "leaf": inner.id }),
+    )
+}
+
+/// Waits while the leaf is frozen.
+async fn thaw(inner: &Inner) {
+    let mut config = inner.config.subscribe();
+    let _ = config.wait_for(|config| !config.frozen).await;
+}
+
+/// A slot, unless too many wait or the deadline is over first.
+async fn slot(inner: &Inner, deadline_ms: u64) -> Option<tokio::sync::SemaphorePermit<'_>> {
+    if let Ok(slot) = inner.slots.try_acquire() {
+        return Some(slot);
+    }
+    let _waiting = Waiting::enter(inner)?;
+    let wait = Duration::from_millis(deadline_ms);
+    tokio::time::timeout(wait, inner.slots.acquire())
+        .await
+        .ok()?
+        .ok()
+}
+
+/// A call that waits for a slot.
+struct Waiting<'a>(&'a Inner);
+
+impl<'a> Waiting<'a> {
+    fn enter(inner: &'a Inner) -> Option<Self> {
+        let most = inner.config.borrow().queue;
+        let waiting = inner.waiting.fetch_add(1, Ordering::Relaxed);
+        let entered = Self(inner);
+        (waiting < most).then_some(entered)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn count_late(inner: &Inner) {
+    let left = *lock(&inner.left);
+    if left.is_some_and(|at| at.elapsed() > LEAVE_GRACE) {
+        lock(&inner.ledger).late_calls += 1;
+    }
+}
+
+fn state(inner: &Inner) -> Reply {
+    let config = inner.config.borrow();
+    let busy = inner.slot_count - inner.slots.available_permits();
+    let load = busy as f64 / inner.slot_count.max(1) as f64;
+    let versions: Vec<_> = config.shards.keys().copied().collect();
+    let body = if config.lies {
+        json!({ "healthy": load > 0.5, "draining": false, "load": 1.0 - load, "versions": versions })
+    } else {
+        json!({ "healthy": true, "draining": config.draining || config.closed, "load": load,
+            "versions": versions })
+    };
+    reply(StatusCode::OK, &body)
+}
+
+fn refuse(inner: &Inner, why: &str) -> Reply {
+    lock(&inner.ledger).refused += 1;
+    let body = json!({ "not_run": true, "refused": why });
+    reply(StatusCode::SERVICE_UNAVAILABLE, &body)
+}
+
+fn reply<T: Serialize>(status: StatusCode, body: &T) -> Reply {
+    let text = serde_json::to_vec(body).expect("plain JSON");
+    let mut reply = Response::new(Full::new(Bytes::from(text)));
+    *reply.status_mut() = status;
+    reply
+}
--- /dev/null
+++ b/crates/fake/src/world.rs
@@ -0,0 +1,249 @@
+//! A deployment, as the stand-ins and tests need it.
+
+use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
+
+use chestnut_conf::{Kind, Leaf, ObjectKey, Service};
+use chestnut_port::{Vm, VmRole};
+use chestnut_unit::{
+    DomainName, IndexVersion, Layout, LayoutShard, LeafId, MemberId, ServiceName, ShardName,
+    Snapshot,
+};
+use displaydoc::Display;
+use serde::Deserialize;
+
+/// Why a world can't be read.
+#[derive(Debug, Display)]
+pub enum WorldError {
+    /// can't read {0}: {1}
+    Read(String, std::io::Error),
+    /// {0}: {1}
+    Parse(String, String),
+}
+
+impl std::error::Error for WorldError {}
+
+/// A service of a world.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Its name.
+    pub name: ServiceName,
+    /// Shards of its first index version.
+    pub shards: u32,
+    /// Leafs that hold each shard.
+    pub replicas: u32,
+    /// Leafs in all. Leaf `n` is in domain `n` modulo their number, and shard
+    /// `s` is on leafs `s * replicas`, `s * replicas + 1`, ... modulo `leafs`.
+    pub leafs: u32,
+    /// Requests that a leaf runs at once.
+    pub slots: u32,
+    /// Connections that a leaf accepts.
+    pub connections: u32,
+    /// Milliseconds to open a connection.
+    pub open_ms: u64,
+    /// Median milliseconds of a call.
+    pub median_ms: f64,
+    /// Leafs in one group; must be a multiple of `replicas`.
+    pub group: u32,
+    /// Port of the first leaf.
+    pub port: u16,
+}
+
+/// An entry of a world.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySpec {
+    /// Its name.
+    pub member: MemberId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it listens for callers.
+    pub callers: SocketAddr,
+    /// Where it listens for operators.
+    pub operators: SocketAddr,
+    /// Where it listens for peers.
+    pub peers: SocketAddr,
+}
+
+/// A deployment.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct World {
+    /// Its failure domains.
+    pub domains: Vec<DomainName>,
+    /// Where the platform listens.
+    pub platform: SocketAddr,
+    /// Its services.
+    pub service: Vec<ServiceSpec>,
+    /// Its entries.
+    pub entry: Vec<EntrySpec>,
+}
+
+/// A leaf of a world, with the shards that it holds.
+#[derive(Clone, Debug)]
+pub struct LeafSpec {
+    /// Its name.
+    pub id: LeafId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Time to open a connection.
+    pub open: Duration,
+    /// Median time of a call.
+    pub median: Duration,
+    /// Shards of index version 1 that it holds.
+    pub shards: Vec<ShardName>,
+}
+
+impl World {
+    /// Reads a world from a TOML file.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read or is not a world.
+    pub fn open(path: &Path) -> Result<Self, WorldError> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| WorldError::Read(name.clone(), e))?;
+        Self::parse(&text).map_err(|e| WorldError::Parse(name, e))
+    }
+
+    /// Parses a world.
+    ///
+    /// # Errors
+    ///
+    /// The text is not a world.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        toml::from_str(text).map_err(|e| e.to_string())
+    }
+
+    /// All leafs.
+    #[must_use]
+    pub fn leafs(&self) -> Vec<LeafSpec> {
+        self.service.iter().flat_map(|s| self.leafs_of(s)).collect()
+    }
+
+    fn leafs_of(&self, spec: &ServiceSpec) -> Vec<LeafSpec> {
+        let layout = layout_of(spec, IndexVersion(1), spec.shards);
+        (0..spec.leafs)
+            .map(|n| {
+                let id = leaf_id(spec, n);
+                let holds = |s: &&LayoutShard| s.leafs.contains(&id);
+                LeafSpec {
+                    service: spec.name.clone(),
+                    address: SocketAddr::from(([127, 0, 0, 1], spec.port + n as u16)),
+                    domain: self.domains[n as usize % self.domains.len()].clone(),
+                    slots: spec.slots,
+                    connections: spec.connections,
+                    open: Duration::from_millis(spec.open_ms),
+                    median: Duration::from_secs_f64(spec.median_ms / 1e3),
+                    shards: layout
+                        .shards
+                        .iter()
+                        .filter(holds)
+                        .map(|s| s.name.clone())
+                        .collect(),
+                    id,
+                }
+            })
+            .collect()
+    }
+
+    /// The service and layout objects that the platform holds at first.
+    #[must_use]
+    pub fn objects(&self) -> Vec<(ObjectKey, serde_json::Value)> {
+        let mut objects = Vec::new();
+        for spec in &self.service {
+            let versions = vec![IndexVersion(1)];
+            let service = self.service_object(spec, versions);
+            objects.push(plain(Kind::Service, spec.name.as_str(), &service));
+            let layout = layout_of(spec, IndexVersion(1), spec.shards);
+            objects.push(plain(Kind::Layout, &format!("{}.1", spec.name), &layout));
+        }
+        objects
+    }
+
+    /// The service object with the given index versions.
+    #[must_use]
+    pub fn service_object(&self, spec: &ServiceSpec, versions: Vec<IndexVersion>) -> Service {
+        let mut leafs = BTreeMap::new();
+        for (n, leaf) in (0..).zip(self.leafs_of(spec)) {
+            let entry = Leaf {
+                address: leaf.address,
+                domain: leaf.domain,
+                slots: leaf.slots,
+                connections: leaf.connections,
+                group: n / spec.group.max(1),
+            };
+            leafs.insert(leaf.id, entry);
+        }
+        Service { leafs, versions }
+    }
+
+    /// The platform's list of VMs, everything alive.
+    #[must_use]
+    pub fn vms(&self) -> Vec<Vm> {
+        let entries = self.entry.iter().map(|entry| Vm {
+            name: entry.member.to_string(),
+            role: VmRole::Entry,
+            domain: entry.domain.clone(),
+            leaving: false,
+            addresses: Some([entry.callers, entry.operators, entry.peers]),
+        });
+        let leafs = self.leafs().into_iter().map(|leaf| Vm {
+            name: leaf.id.to_string(),
+            role: VmRole::Leaf,
+            domain: leaf.domain,
+            leaving: false,
+            addresses: None,
+        });
+        entries.chain(leafs).collect()
+    }
+
+    /// Settings of one entry, as TOML.
+    #[must_use]
+    pub fn settings_of(&self, entry: &EntrySpec) -> String {
+        format!(
+            "[entry]\nmember = \"{}\"\ndomain = \"{}\"\n\n\
+             [listen]\ncallers = \"{}\"\noperators = \"{}\"\npeers = \"{}\"\n\n\
+             [platform]\naddress = \"{}\"\n",
+            entry.member, entry.domain, entry.callers, entry.operators, entry.peers, self.platform,
+        )
+    }
+}
+
+/// The layout of `shards` shards of a service for an index version.
+#[must_use]
+pub(crate) fn layout_of(spec: &ServiceSpec, version: IndexVersion, shards: u32) -> Layout {
+    let shard = |s: u32| LayoutShard {
+        name: ShardName::new(format!("{}-s{s:03}", spec.name)).expect("a legal name"),
+        leafs: (0..spec.replicas)
+            .map(|r| leaf_id(spec, (s * spec.replicas + r) % spec.leafs))
+            .collect(),
+    };
+    Layout {
+        snapshot: Snapshot {
+            service: spec.name.clone(),
+            version,
+        },
+        shards: (0..shards).map(shard).collect(),
+    }
+}
+
+fn leaf_id(spec: &ServiceSpec, n: u32) -> LeafId {
+    LeafId::new(format!("{}-l{n:03}", spec.name)).expect("a legal name")
+}
+
+fn plain<T: serde::Serialize>(kind: Kind, name: &str, value: &T) -> (ObjectKey, serde_json::Value) {
+    let key = ObjectKey {
+        kind,
+        name: name.to_owned(),
+    };
+    (key, serde_json::to_value(value).expect("plain JSON"))
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,24 @@
+//! What entries decide about each other: who is a member, who holds which
+//! leafs, which addresses callers use, who watches the platform, and whether
+//! settings are confirmed.
+//!
+//! All of it is state plus event plus `now` in, typed messages out. The
+//! failure detector follows SWIM (Das, Gupta, Motivala, 2002) with the
+//! self-doubt of Lifeguard (Dadgar, Phillips, Currey, 2017), so that the cost
+//! for one member does not grow with their number.
+
+mod confirm;
+mod entries;
+mod holder;
+mod member;
+mod news;
+mod swim;
+mod view;
+
+pub use confirm::{Confirm, Confirmed};
+pub use entries::{Entry, order_entries};
+pub use holder::{HolderPlan, holders_of, holders_wanted, watchers_of};
+pub use member::{Addresses, Liveness, Member};
+pub use news::News;
+pub use swim::{Probe, ProbeKind, Send, Status, Swim, SwimConfig};
+pub use view::{Change, View};
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,104 @@
+//! One member and the order of its states.
+
+use std::net::SocketAddr;
+
+use chestnut_unit::{DomainName, Incarnation, MemberId};
+
+/// Whether a member is thought to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Liveness {
+    /// It answers.
+    Alive,
+    /// It did not answer a probe, nor others on our behalf.
+    Suspect,
+    /// It was suspect too long, or it has left.
+    Gone,
+}
+
+/// Where a member listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Addresses {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Operators.
+    pub operators: SocketAddr,
+    /// Peers.
+    pub peers: SocketAddr,
+}
+
+/// What is said of a member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub id: MemberId,
+    /// Its failure domain.
+    pub domain: DomainName,
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// The life of its process.
+    pub incarnation: Incarnation,
+    /// Raised by the member itself to refute a suspicion.
+    pub beat: u32,
+    /// Whether it is thought to run.
+    pub liveness: Liveness,
+    /// Whether it has said that it is leaving.
+    pub leaving: bool,
+    /// Who took over its tickets when it left.
+    pub successor: Option<MemberId>,
+}
+
+impl Member {
+    /// A member that has just started.
+    #[must_use]
+    pub fn starting(
+        id: MemberId,
+        domain: DomainName,
+        addresses: Addresses,
+        incarnation: Incarnation,
+    ) -> Self {
+        Self {
+            id,
+            domain,
+            addresses,
+            incarnation,
+            beat: 0,
+            liveness: Liveness::Alive,
+            leaving: false,
+            successor: None,
+        }
+    }
+
+    /// Whether new work may go to it.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.liveness != Liveness::Gone && !self.leaving
+    }
+
+    /// Takes what `other` says of the same member and returns whether that
+    /// changed anything.
+    ///
+    /// A later life overrides an earlier one. Within a life the higher beat
+    /// wins and, at the same beat, the worse liveness; leaving and a successor
+    /// are never unsaid, since only the member itself says them. So every
+    /// member that has heard the same statements, in any order and any number
+    /// of times, holds the same state.
+    pub fn merge(&mut self, other: &Member) -> bool {
+        if other.incarnation != self.incarnation {
+            let newer = other.incarnation > self.incarnation;
+            if newer {
+                *self = other.clone();
+            }
+            return newer;
+        }
+        let before = self.clone();
+        if (other.beat, other.liveness) > (self.beat, self.liveness) {
+            self.beat = other.beat;
+            self.liveness = other.liveness;
+        }
+        self.leaving |= other.leaving;
+        if other.successor > self.successor {
+            self.successor = other.successor.clone();
+        }
+        *self != before
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/swim.rs
@@ -0,0 +1,547 @@
+//! The failure detector.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use chestnut_conf::BookDigest;
+use chestnut_unit::{MemberId, Time};
+use rand::Rng;
+
+use crate::{Change, Liveness, Member, News, View};
+
+/// Parameters of the detector.
+#[derive(Clone, Copy, Debug)]
+pub struct SwimConfig {
+    /// Time between two probes.
+    pub interval: Duration,
+    /// Members asked to probe on our behalf.
+    pub helpers: usize,
+    /// Statements in one message. Eight keep a message under 1,200 bytes, so
+    /// that it is never fragmented.
+    pub news: usize,
+}
+
+impl Default for SwimConfig {
+    fn default() -> Self {
+        Self {
+            interval: Duration::from_millis(500),
+            helpers: 3,
+            news: 8,
+        }
+    }
+}
+
+/// Part of the interval after which a probe is repeated through helpers.
+const DIRECT_PART: u32 = 3;
+/// Intervals that a member stays suspect, for each binary digit of the number
+/// of members. In that time its refutation reaches everybody.
+const SUSPECT_INTERVALS: u32 = 1;
+/// Fewest intervals that a member stays suspect.
+const SUSPECT_MIN: u32 = 4;
+/// Highest self-doubt: timeouts grow up to this many times plus one.
+const DOUBT_MAX: u32 = 8;
+/// One probe in this many goes to a member that is gone, so that two halves of
+/// a split find each other again without the platform.
+const REVIVE_EVERY: u64 = 10;
+
+/// What a message asks or answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ProbeKind {
+    /// Answer with an ack.
+    Ping,
+    /// The answer to a ping.
+    Ack,
+    /// Ping `target` and pass its ack on.
+    Relay {
+        /// The member to ping.
+        target: MemberId,
+    },
+}
+
+/// One message of the detector.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Probe {
+    /// Ask or answer.
+    pub kind: ProbeKind,
+    /// Number of the probe at the member that started it.
+    pub seq: u64,
+    /// The sender's statement about itself.
+    pub from: Member,
+    /// Digest of the sender's configuration.
+    pub digest: BookDigest,
+    /// How long ago the sender's configuration was confirmed; `None` if never.
+    pub confirmed: Option<Duration>,
+    /// Requests that the sender runs, for the order of entries.
+    pub load: u32,
+    /// Statements about others.
+    pub news: Vec<Member>,
+}
+
+/// A message to send.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Send {
+    /// Where to.
+    pub to: SocketAddr,
+    /// The message.
+    pub probe: Probe,
+}
+
+/// What a sender says of itself beside its membership.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Digest of the configuration.
+    pub digest: BookDigest,
+    /// How long ago it was confirmed.
+    pub confirmed: Option<Duration>,
+    /// Requests that run.
+    pub load: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Pending {
+    target: MemberId,
+    started: Time,
+    relayed: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Relayed {
+    asker: SocketAddr,
+    seq: u64,
+    at: Time,
+}
+
+/// The failure detector of one entry.
+#[derive(Clone, Debug)]
+pub struct Swim {
+    config: SwimConfig,
+    /// The members.
+    pub view: View,
+    news: News,
+    order: Vec<MemberId>,
+    pending: BTreeMap<u64, Pending>,
+    relayed: BTreeMap<u64, Relayed>,
+    suspects: BTreeMap<MemberId, Time>,
+    loads: BTreeMap<MemberId, u32>,
+    seq: u64,
+    due: Time,
+    doubt: u32,
+    changes: Vec<(MemberId, Change)>,
+}
+
+impl Swim {
+    /// A detector that knows only its own member.
+    #[must_use]
+    pub fn new(config: SwimConfig, own: Member, now: Time) -> Self {
+        let mut news = News::default();
+        news.add(own.clone());
+        Self {
+            config,
+            view: View::new(own, now),
+            news,
+            order: Vec::new(),
+            pending: BTreeMap::new(),
+            relayed: BTreeMap::new(),
+            suspects: BTreeMap::new(),
+            loads: BTreeMap::new(),
+            seq: 0,
+            due: now,
+            doubt: 0,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Changes since the last call of this function.
+    pub fn take_changes(&mut self) -> Vec<(MemberId, Change)> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Load that a member last told.
+    #[must_use]
+    pub fn load(&self, id: &MemberId) -> u32 {
+        self.loads.get(id).copied().unwrap_or(0)
+    }
+
+    /// Statements that still have to be passed on.
+    #[must_use]
+    pub fn news_waiting(&self) -> usize {
+        self.news.len()
+    }
+
+    /// Takes members from another source: the platform's list or a peer's
+    /// whole view. The platform's list lags, so it only introduces members.
+    pub fn introduce(&mut self, members: &[Member], now: Time) {
+        for member in members {
+            self.hear(member, now);
+        }
+    }
+
+    /// Says that this entry is leaving, and to whom it gave its tickets.
+    pub fn leave(&mut self, successor: Option<MemberId>) {
+        self.view.change_own(|own| {
+            own.leaving = true;
+            if successor.is_some() {
+                own.successor = successor;
+            }
+        });
+        self.news.add(self.view.own().clone());
+    }
+
+    /// Says that this entry stops now. Returns the farewell messages.
+    pub fn stop(&mut self, status: Status, most: usize) -> Vec<Send> {
+        self.view.change_own(|own| own.liveness = Liveness::Gone);
+        self.announce(status, most)
+    }
+
+    /// Messages that tell up to `most` members what this entry says of itself,
+    /// without waiting for the probes.
+    #[must_use]
+    pub fn announce(&self, status: Status, most: usize) -> Vec<Send> {
+        let targets: Vec<SocketAddr> = self
+            .view
+            .others()
+            .take(most)
+            .map(|member| member.addresses.peers)
+            .collect();
+        let farewell = |to| Send {
+            to,
+            probe: self.plain(ProbeKind::Ack, 0, status),
+        };
+        targets.into_iter().map(farewell).collect()
+    }
+
+    /// When [`Swim::tick`] has something to do next.
+    #[must_use]
+    pub fn wake(&self) -> Time {
+        let direct = self.config.interval / DIRECT_PART;
+        let relay = self
+            .pending
+            .values()
+            .filter(|pending| !pending.relayed)
+            .map(|pending| pending.started + direct * (1 + self.doubt))
+            .min();
+        let suspect = self.suspects.values().min().copied();
+        [Some(self.due), relay, suspect]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.due)
+    }
+
+    /// Does what is due: probes, asks helpers, suspects, gives up.
+    pub fn tick(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
+        self.notice_own_pause(now);
+        self.relay_late(status, now, rng, out);
+        self.suspect_silent(now);
+        self.give_up_suspects(now);
+        if now >= self.due {
+            self.due = now + self.config.interval;
+            self.probe_next(status, now, rng, out);
+            self.view.forget(now);
+            let oldest = now - self.config.interval * 8;
+            self.relayed.retain(|_, relayed| relayed.at > oldest);
+        }
+    }
+
+    /// Takes a message.
+    pub fn receive(
+        &mut self,
+        probe: &Probe,
+        from: SocketAddr,
+        status: Status,
+        now: Time,
+        out: &mut Vec<Send>,
+    ) {
+        self.hear(&probe.from, now);
+        for member in &probe.news {
+            self.hear(member, now);
+        }
+        self.loads.insert(probe.from.id.clone(), probe.load);
+        match &probe.kind {
+            ProbeKind::Ping => {
+                let ack = self.message(ProbeKind::Ack, probe.seq, status);
+                out.push(Send {
+                    to: from,
+                    probe: ack,
+                });
+            }
+            ProbeKind::Ack => self.acked(probe, status, out),
+            ProbeKind::Relay { target } => {
+                self.relay(target, probe.seq, from, status, now, out);
+            }
+        }
+    }
+
+    /// A pause of this process makes everybody else look silent. Probes that
+    /// were under way then prove nothing: they are dropped, and doubt grows.
+    /// Without this a VM that is frozen for some seconds suspects its peers
+    /// when it wakes, and they spend their news on refuting it.
+    fn notice_own_pause(&mut self, now: Time) {
+        let late = now.since(self.due);
+        if late <= self.config.interval * 2 {
+            return;
+        }
+        self.pending.clear();
+        self.doubt = (self.doubt + 2).min(DOUBT_MAX);
+        let grace = self.suspect_span();
+        for until in self.suspects.values_mut() {
+            *until = (*until).max(now + grace);
+        }
+    }
+
+    fn probe_next(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
+        self.seq += 1;
+        let revive = self.seq.is_multiple_of(REVIVE_EVERY);
+        let target = if revive {
+            self.some_gone(rng).or_else(|| self.next_target(rng))
+        } else {
+            self.next_target(rng)
+        };
+        let Some((id, to)) = target else {
+            return;
+        };
+        let probe = self.message(ProbeKind::Ping, self.seq, status);
+        out.push(Send { to, probe });
+        let pending = Pending {
+            target: id,
+            started: now,
+            relayed: false,
+        };
+        self.pending.insert(self.seq, pending);
+    }
+
+    /// The next member of a shuffled round, so that each is probed once in
+    /// every round and the time to notice a death is bounded.
+    fn next_target(&mut self, rng: &mut dyn Rng) -> Option<(MemberId, SocketAddr)> {
+        for _ in 0..2 {
+            while let Some(id) = self.order.pop() {
+                let present = self.view.get(&id).filter(|m| m.liveness != Liveness::Gone);
+                if let Some(member) = present {
+                    return Some((id, member.addresses.peers));
+                }
+            }
+            self.order = self.view.others().map(|m| m.id.clone()).collect();
+            shuffle(&mut self.order, rng);
+        }
+        None
+    }
+
+    fn some_gone(&self, rng: &mut dyn Rng) -> Option<(MemberId, SocketAddr)> {
+        let gone: Vec<&Member> = self
+            .view
+            .all()
+            .filter(|m| m.liveness == Liveness::Gone && !m.leaving)
+            .collect();
+        if gone.is_empty() {
+            return None;
+        }
+        let member = gone[below(rng, gone.len())];
+        Some((member.id.clone(), member.addresses.peers))
+    }
+
+    fn relay_late(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
+        let patience = self.config.interval / DIRECT_PART * (1 + self.doubt);
+        let late: Vec<(u64, MemberId)> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| !p.relayed && p.started + patience <= now)
+            .map(|(seq, p)| (*seq, p.target.clone()))
+            .collect();
+        for (seq, target) in late {
+            if let Some(pending) = self.pending.get_mut(&seq) {
+                pending.relayed = true;
+            }
+            self.ask_helpers(seq, &target, status, rng, out);
+        }
+    }
+
+    fn ask_helpers(
+        &mut self,
+        seq: u64,
+        target: &MemberId,
+        status: Status,
+        rng: &mut dyn Rng,
+        out: &mut Vec<Send>,
+    ) {
+        let mut helpers: Vec<SocketAddr> = self
+            .view
+            .others()
+            .filter(|m| m.id != *target && m.liveness == Liveness::Alive)
+            .map(|m| m.addresses.peers)
+            .collect();
+        shuffle(&mut helpers, rng);
+        helpers.truncate(self.config.helpers);
+        for to in helpers {
+            let kind = ProbeKind::Relay {
+                target: target.clone(),
+            };
+            let probe = self.message(kind, seq, status);
+            out.push(Send { to, probe });
+        }
+    }
+
+    fn suspect_silent(&mut self, now: Time) {
+        let patience = self.config.interval * (1 + self.doubt);
+        let silent: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, p)| p.started + patience <= now)
+            .map(|(seq, _)| *seq)
+            .collect();
+        for seq in silent {
+            let Some(pending) = self.pending.remove(&seq) else {
+                continue;
+            };
+            self.doubt = (self.doubt + 1).min(DOUBT_MAX);
+            let Some(member) = self.view.get(&pending.target) else {
+                continue;
+            };
+            if member.liveness != Liveness::Alive {
+                continue;
+            }
+            let mut said = member.clone();
+            said.liveness = Liveness::Suspect;
+            self.hear(&said, now);
+        }
+    }
+
+    fn give_up_suspects(&mut self, now: Time) {
+        let over: Vec<MemberId> = self
+            .suspects
+            .iter()
+            .filter(|(_, until)| **until <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in over {
+            self.suspects.remove(&id);
+            let Some(member) = self.view.get(&id) else {
+                continue;
+            };
+            if member.liveness != Liveness::Suspect {
+                continue;
+            }
+            let mut said = member.clone();
+            said.liveness = Liveness::Gone;
+            self.hear(&said, now);
+        }
+    }
+
+    /// Takes a statement, from a message or from our own detector.
+    fn hear(&mut self, said: &Member, now: Time) {
+        if said.id == self.view.own().id {
+            self.refute(said);
+            return;
+        }
+        let (change, news) = self.view.merge(said, now);
+        if !news {
+            return;
+        }
+        let Some(member) = self.view.get(&said.id).cloned() else {
+            return;
+        };
+        match member.liveness {
+            Liveness::Suspect => {
+                let until = now + self.suspect_span();
+                self.suspects.entry(member.id.clone()).or_insert(until);
+            }
+            Liveness::Alive | Liveness::Gone => {
+                self.suspects.remove(&member.id);
+            }
+        }
+        if change != Change::None {
+            self.changes.push((member.id.clone(), change));
+        }
+        self.news.add(member);
+    }
+
+    /// Answers a statement that calls this entry suspect or gone by a higher
+    /// beat. A statement about an earlier life of the same name is answered
+    /// too, as the present life overrides it.
+    fn refute(&mut self, said: &Member) {
+        let own = self.view.own();
+        if said.incarnation != own.incarnation || said.liveness == Liveness::Alive {
+            return;
+        }
+        if said.beat < own.beat || own.liveness == Liveness::Gone {
+            return;
+        }
+        let beat = said.beat + 1;
+        self.view.change_own(|own| own.beat = beat);
+        self.news.add(self.view.own().clone());
+        self.doubt = (self.doubt + 1).min(DOUBT_MAX);
+    }
+
+    fn acked(&mut self, probe: &Probe, status: Status, out: &mut Vec<Send>) {
+        if let Some(relayed) = self.relayed.remove(&probe.seq) {
+            let mut passed = self.plain(ProbeKind::Ack, relayed.seq, status);
+            passed.news.push(probe.from.clone());
+            out.push(Send {
+                to: relayed.asker,
+                probe: passed,
+            });
+            return;
+        }
+        if self.pending.remove(&probe.seq).is_some() {
+            self.doubt = self.doubt.saturating_sub(1);
+        }
+    }
+
+    fn relay(
+        &mut self,
+        target: &MemberId,
+        seq: u64,
+        asker: SocketAddr,
+        status: Status,
+        now: Time,
+        out: &mut Vec<Send>,
+    ) {
+        let Some(to) = self.view.get(target).map(|m| m.addresses.peers) else {
+            return;
+        };
+        self.seq += 1;
+        let relayed = Relayed {
+            asker,
+            seq,
+            at: now,
+        };
+        self.relayed.insert(self.seq, relayed);
+        let probe = self.message(ProbeKind::Ping, self.seq, status);
+        out.push(Send { to, probe });
+    }
+
+    fn suspect_span(&self) -> Duration {
+        let members = self.view.present().count();
+        let digits = usize::BITS - members.leading_zeros();
+        let intervals = (SUSPECT_INTERVALS * digits).max(SUSPECT_MIN);
+        self.config.interval * intervals
+    }
+
+    fn message(&mut self, kind: ProbeKind, seq: u64, status: Status) -> Probe {
+        let members = self.view.present().count();
+        let mut probe = self.plain(kind, seq, status);
+        probe.news = self.news.take(self.config.news, members);
+        probe
+    }
+
+    fn plain(&self, kind: ProbeKind, seq: u64, status: Status) -> Probe {
+        Probe {
+            kind,
+            seq,
+            from: self.view.own().clone(),
+            digest: status.digest,
+            confirmed: status.confirmed,
+            load: status.load,
+            news: Vec::new(),
+        }
+    }
+}
+
+fn shuffle<T>(items: &mut [T], rng: &mut dyn Rng) {
+    for last in (1..items.len()).rev() {
+        items.swap(last, below(rng, last + 1));
+    }
+}
+
+fn below(rng: &mut dyn Rng, bound: usize) -> usize {
+    let wide = u128::from(rng.next_u64()) * bound as u128;
+    usize::try_from(wide >> 64).expect("below the bound")
+}
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,22 @@
+//! Submissions that take effect at most once, without a store.
+//!
+//! A submission is dispatched by one process only: the keeper that its
+//! [`Ticket`] names. Repeats at any entry reach the same keeper, which answers
+//! them with the first outcome. See `docs/design/submissions.md`.
+//!
+//! ```
+//! use chestnut_once::{Claim, Keeper, KeeperConfig};
+//! use chestnut_unit::{Incarnation, MemberId, Wall};
+//!
+//! let member = MemberId::new("dub-a-1").unwrap();
+//! let mut keeper = Keeper::new(member, Incarnation(7), KeeperConfig::default());
+//! let ticket = keeper.mint([1; 16], Wall(0)).unwrap();
+//! assert_eq!(keeper.claim(&ticket, 99, Wall(1)), Claim::Run);
+//! assert_eq!(keeper.claim(&ticket, 99, Wall(2)), Claim::Join);
+//! ```
+
+mod keeper;
+mod ticket;
+
+pub use keeper::{Claim, Handed, Keeper, KeeperConfig, Outcome};
+pub use ticket::{Ticket, TicketError};
--- /dev/null
+++ b/crates/port/schema/peer.capnp
@@ -0,0 +1,147 @@
+@0xd2f1a6c07b3e4585;
+# The protocol between entries. Every message carries a version; an entry
+# answers a version that it does not know with an error.
+
+struct Member {
+  id @0 :Text;
+  domain @1 :Text;
+  callers @2 :Text;
+  operators @3 :Text;
+  peers @4 :Text;
+  incarnation @5 :UInt64;
+  beat @6 :UInt32;
+  liveness @7 :Liveness;
+  leaving @8 :Bool;
+  successor @9 :Text;
+}
+
+enum Liveness {
+  alive @0;
+  suspect @1;
+  gone @2;
+}
+
+enum ProbeKind {
+  ping @0;
+  ack @1;
+  relay @2;
+}
+
+# One datagram.
+struct Probe {
+  version @0 :UInt16;
+  kind @1 :ProbeKind;
+  seq @2 :UInt64;
+  from @3 :Member;
+  digest @4 :UInt64;
+  confirmedMs @5 :Int64 = -1;
+  load @6 :UInt32;
+  news @7 :List(Member);
+  target @8 :Text;
+}
+
+struct SubQuery {
+  version @0 :UInt16;
+  request @1 :UInt64;
+  service @2 :Text;
+  index @3 :UInt64;
+  shards @4 :List(UInt32);
+  body @5 :Data;
+  deadlineUs @6 :UInt64;
+}
+
+struct Part {
+  shard @0 :UInt32;
+  rows @1 :Data;
+}
+
+enum Refusal {
+  shed @0;
+  connections @1;
+  draining @2;
+  noSnapshot @3;
+  deadline @4;
+}
+
+struct SubAnswer {
+  union {
+    parts @0 :List(Part);
+    refused @1 :Refusal;
+    lost @2 :Void;
+  }
+  index @3 :UInt64;
+}
+
+struct Submission {
+  version @0 :UInt16;
+  ticket @1 :Text;
+  organisation @2 :Text;
+  service @3 :Text;
+  call @4 :Text;
+  body @5 :Data;
+  deadlineUs @6 :UInt64;
+}
+
+struct Outcome {
+  union {
+    done @0 :Data;
+    notRun @1 :UInt8;   # number of the reason
+    unknown @2 :UInt8;  # number of the reason
+  }
+}
+
+struct Handed {
+  ticket @0 :Text;
+  settled @1 :Bool;
+  body @2 :UInt64;
+  outcome @3 :Outcome;
+}
+
+struct ObjectVersion {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+}
+
+struct Object {
+  kind @0 :Text;
+  name @1 :Text;
+  version @2 :UInt64;
+  value @3 :Data;  # JSON
+}
+
+# A submission that a holder passes to one leaf.
+struct Dispatch {
+  version @0 :UInt16;
+  request @1 :UInt64;
+  service @2 :Text;
+  call @3 :Text;
+  index @4 :UInt64;
+  shard @5 :UInt32;
+  body @6 :Data;
+  deadlineUs @7 :UInt64;
+}
+
+struct Dispatched {
+  union {
+    done @0 :Data;
+    refused @1 :Refusal;
+    notSent @2 :Void;
+    lost @3 :Void;
+  }
+}
+
+interface Peer {
+  query @0 (ask :SubQuery) -> (answer :SubAnswer);
+  submit @1 (ask :Submission) -> (outcome :Outcome);
+  members @2 () -> (members :List(Member));
+  # Objects that are newer at the callee than what the caller has.
+  objects @3 (have :List(ObjectVersion)) -> (objects :List(Object));
+  # Objects that have just been accepted.
+  push @4 (objects :List(Object)) -> ();
+  # Tickets of a caller that leaves.
+  adopt @5 (tickets :List(Handed)) -> ();
+  dispatch @6 (ask :Dispatch) -> (answer :Dispatched);
+  # Leafs that the platform's list says are leaving.
+  leaving @7 (leafs :List(Text)) -> ();
+}
--- /dev/null
+++ b/crates/port/src/clock.rs
@@ -0,0 +1,46 @@
+//! The clock that adapters read so that decisions need not.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use chestnut_unit::{Time, Wall};
+use tokio::time::Instant;
+
+/// Monotonic time since the clock was made, and wall time. The monotonic part
+/// follows the runtime's clock, so a paused runtime pauses it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+
+    /// The present wall time.
+    #[must_use]
+    pub fn wall(&self) -> Wall {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Wall(since.map_or(0, |span| span.as_millis() as u64))
+    }
+
+    /// The runtime's form of a time.
+    #[must_use]
+    pub fn instant(&self, time: Time) -> Instant {
+        let span = std::time::Duration::from_nanos(time.as_nanos().min(FAR_NANOS));
+        self.start + span
+    }
+}
+
+/// About a century: later times overflow the runtime's clock.
+const FAR_NANOS: u64 = 3_000_000_000_000_000_000;
--- /dev/null
+++ b/crates/port/src/lib.rs
@@ -0,0 +1,38 @@
+//! The ports of the tier and their adapters.
+//!
+//! A port is a trait that the tier calls ([`Targets`], [`Platform`], [`Peers`])
+//! or that calls it ([`PeerService`]). The adapters beside them speak HTTP/2 to
+//! targets, HTTP to the platform and Cap'n Proto to peers. Tests put fakes in
+//! their place.
+
+mod clock;
+mod http;
+mod json;
+mod peer;
+#[expect(
+    clippy::unwrap_used,
+    reason = "generated from schema/peer.capnp"
+)]
+#[rustfmt::skip]
+mod peer_capnp;
+mod peer_rpc;
+mod peer_serve;
+mod platform;
+mod platform_http;
+mod probe;
+mod target;
+mod target_http;
+mod wire;
+
+pub use clock::Clock;
+pub use http::{HttpClient, HttpError, HttpReply};
+pub use json::LeafAnswer;
+pub use peer::{
+    Dispatch, PeerError, PeerService, Peers, SubAnswer, SubQuery, Submission, SubmitReply,
+};
+pub use peer_rpc::PeerNet;
+pub use platform::{Changes, Listing, Platform, PlatformError, Vm, VmRole};
+pub use platform_http::HttpPlatform;
+pub use probe::{ProbeSocket, Probes};
+pub use target::{LeafQuery, LeafState, LeafSubmit, Targets};
+pub use target_http::{HttpTargets, TargetsConfig};
--- /dev/null
+++ b/crates/port/src/peer_serve.rs
@@ -0,0 +1,113 @@
+//! The server side of the peer protocol.
+
+use std::{rc::Rc, sync::Arc};
+
+use capnp::Error;
+use tokio::runtime::Handle;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{PeerService, peer_capnp::peer, wire};
+
+/// Serves one peer's calls by passing them to the tier's own runtime.
+pub(crate) struct Session {
+    pub(crate) service: Arc<dyn PeerService>,
+    pub(crate) runtime: Handle,
+}
+
+impl peer::Server for Session {
+    async fn query(
+        self: Rc<Self>,
+        params: peer::QueryParams,
+        mut results: peer::QueryResults,
+    ) -> Result<(), Error> {
+        let ask = wire::get_query(params.get()?.get_ask()?)?;
+        let task = self.runtime.spawn(self.service.query(ask));
+        // A caller that cancels drops this future, and with it the task.
+        let answer = AbortOnDropHandle::new(task).await.map_err(failed)?;
+        wire::put_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn submit(
+        self: Rc<Self>,
+        params: peer::SubmitParams,
+        mut results: peer::SubmitResults,
+    ) -> Result<(), Error> {
+        let ask = wire::get_submission(params.get()?.get_ask()?)?;
+        // Not aborted with the call: the outcome must reach the keeper's table
+        // also when the entry that passed the submission on has gone away.
+        let task = self.runtime.spawn(self.service.submit(ask));
+        let reply = task.await.map_err(failed)?;
+        wire::put_reply(&reply, results.get().init_outcome());
+        Ok(())
+    }
+
+    async fn dispatch(
+        self: Rc<Self>,
+        params: peer::DispatchParams,
+        mut results: peer::DispatchResults,
+    ) -> Result<(), Error> {
+        let ask = wire::get_dispatch(params.get()?.get_ask()?)?;
+        let task = self.runtime.spawn(self.service.dispatch(ask));
+        let answer = AbortOnDropHandle::new(task).await.map_err(failed)?;
+        wire::put_dispatched(&answer, results.get().init_answer());
+        Ok(())
+    }
+
+    async fn leaving(
+        self: Rc<Self>,
+        params: peer::LeavingParams,
+        _: peer::LeavingResults,
+    ) -> Result<(), Error> {
+        let leafs = wire::get_leafs(params.get()?.get_leafs()?)?;
+        self.service.leaving(leafs);
+        Ok(())
+    }
+
+    async fn members(
+        self: Rc<Self>,
+        _: peer::MembersParams,
+        mut results: peer::MembersResults,
+    ) -> Result<(), Error> {
+        let members = self.service.members();
+        let list = results.get().init_members(members.len() as u32);
+        wire::put_members(&members, list);
+        Ok(())
+    }
+
+    async fn objects(
+        self: Rc<Self>,
+        params: peer::ObjectsParams,
+        mut results: peer::ObjectsResults,
+    ) -> Result<(), Error> {
+        let have = wire::get_have(params.get()?.get_have()?)?;
+        let objects = self.service.objects(&have);
+        let list = results.get().init_objects(objects.len() as u32);
+        wire::put_objects(&objects, list);
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: peer::PushParams,
+        _: peer::PushResults,
+    ) -> Result<(), Error> {
+        let objects = wire::get_objects(params.get()?.get_objects()?)?;
+        self.service.push(objects);
+        Ok(())
+    }
+
+    async fn adopt(
+        self: Rc<Self>,
+        params: peer::AdoptParams,
+        _: peer::AdoptResults,
+    ) -> Result<(), Error> {
+        let tickets = wire::get_handed(params.get()?.get_tickets()?)?;
+        self.service.adopt(tickets);
+        Ok(())
+    }
+}
+
+fn failed(error: tokio::task::JoinError) -> Error {
+    Error::failed(error.to_string())
+}
--- /dev/null
+++ b/crates/port/src/platform_http.rs
@@ -0,0 +1,137 @@
+//! The adapter to the platform's object API: HTTP with JSON.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use chestnut_conf::{Kind, Object, ObjectKey, PlatformSettings};
+use futures::{FutureExt, future::BoxFuture};
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, de::DeserializeOwned};
+
+use crate::{Changes, HttpClient, HttpReply, Listing, Platform, PlatformError, Vm};
+
+/// Time beyond a watch's own wait in which its answer must come.
+const WATCH_SLACK: Duration = Duration::from_secs(2);
+
+/// The adapter to the platform.
+#[derive(Clone, Debug)]
+pub struct HttpPlatform {
+    client: HttpClient,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl HttpPlatform {
+    /// An adapter to the platform at the address in the settings.
+    #[must_use]
+    pub fn new(settings: &PlatformSettings) -> Self {
+        Self {
+            client: HttpClient::default(),
+            address: settings.address,
+            timeout: settings.timeout,
+        }
+    }
+
+    async fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<HttpReply, PlatformError> {
+        let reply = self
+            .client
+            .call(method, self.address, path, body, wait)
+            .await
+            .map_err(|_| PlatformError::Unavailable)?;
+        match reply.status {
+            StatusCode::CONFLICT => Err(conflict(&reply)),
+            status if status.is_server_error() => Err(PlatformError::Unavailable),
+            _ => Ok(reply),
+        }
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        wait: Duration,
+    ) -> Result<T, PlatformError> {
+        parse(&self.ask(Method::GET, path, Bytes::new(), wait).await?)
+    }
+}
+
+impl Platform for HttpPlatform {
+    fn get(&self, key: ObjectKey) -> BoxFuture<'_, Result<Option<Object>, PlatformError>> {
+        async move {
+            let path = path_of(&key);
+            let reply = self
+                .ask(Method::GET, &path, Bytes::new(), self.timeout)
+                .await?;
+            if reply.status == StatusCode::NOT_FOUND {
+                return Ok(None);
+            }
+            parse(&reply).map(Some)
+        }
+        .boxed()
+    }
+
+    fn list(&self, kind: Kind) -> BoxFuture<'_, Result<Listing, PlatformError>> {
+        async move { self.read(&format!("/objects/{kind}"), self.timeout).await }.boxed()
+    }
+
+    fn put(
+        &self,
+        key: ObjectKey,
+        expected: u64,
+        value: serde_json::Value,
+    ) -> BoxFuture<'_, Result<u64, PlatformError>> {
+        async move {
+            let path = format!("{}?if_version={expected}", path_of(&key));
+            let body = Bytes::from(value.to_string());
+            let reply = self.ask(Method::PUT, &path, body, self.timeout).await?;
+            let written: Written = parse(&reply)?;
+            Ok(written.version)
+        }
+        .boxed()
+    }
+
+    fn watch(
+        &self,
+        kind: Kind,
+        revision: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Changes, PlatformError>> {
+        async move {
+            let wait_ms = wait.as_millis();
+            let path = format!("/watch/{kind}?after={revision}&wait_ms={wait_ms}");
+            self.read(&path, wait + WATCH_SLACK).await
+        }
+        .boxed()
+    }
+
+    fn vms(&self) -> BoxFuture<'_, Result<Vec<Vm>, PlatformError>> {
+        async move { self.read("/vms", self.timeout).await }.boxed()
+    }
+}
+
+#[derive(Deserialize)]
+struct Written {
+    version: u64,
+}
+
+fn path_of(key: &ObjectKey) -> String {
+    format!("/objects/{}/{}", key.kind, key.name)
+}
+
+fn parse<T: DeserializeOwned>(reply: &HttpReply) -> Result<T, PlatformError> {
+    if !reply.status.is_success() {
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        return Err(PlatformError::Refused(text));
+    }
+    serde_json::from_slice(&reply.body).map_err(|e| PlatformError::Refused(e.to_string()))
+}
+
+fn conflict(reply: &HttpReply) -> PlatformError {
+    let current = reply.json()["version"].as_u64().unwrap_or(0);
+    PlatformError::Conflict { current }
+}
--- /dev/null
+++ b/crates/port/src/target_http.rs
@@ -0,0 +1,389 @@
+//! The adapter to targets: HTTP/2 with prior knowledge.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use chestnut_route::{ConnId, Failure, Pick, Pool, Refusal};
+use chestnut_unit::LeafId;
+use futures::{FutureExt, future::BoxFuture};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, body::Incoming, client::conn::http2};
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Deserialize;
+use tokio::{net::TcpStream, sync::Notify, time::timeout};
+
+use crate::{Clock, LeafAnswer, LeafQuery, LeafState, LeafSubmit, Targets};
+
+/// Parameters of the adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetsConfig {
+    /// Longest wait for a connection to open.
+    pub connect: Duration,
+    /// Time between two pings of a connection.
+    pub ping: Duration,
+    /// Longest wait for the answer to a ping. A connection that is silent is
+    /// closed after `ping` and this together.
+    pub pong: Duration,
+    /// Largest answer.
+    pub answer: usize,
+}
+
+impl Default for TargetsConfig {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(1),
+            ping: Duration::from_millis(500),
+            pong: Duration::from_secs(1),
+            answer: 4 << 20,
+        }
+    }
+}
+
+/// Longest wait for a leaf's health and load endpoint.
+const STATE_WAIT: Duration = Duration::from_secs(1);
+
+type Sender = http2::SendRequest<Full<Bytes>>;
+
+/// Connections to one leaf.
+struct LeafConns {
+    address: SocketAddr,
+    pool: Mutex<(Pool, BTreeMap<ConnId, Sender>)>,
+    opened: Notify,
+}
+
+struct Inner {
+    config: TargetsConfig,
+    clock: Clock,
+    leafs: Mutex<BTreeMap<LeafId, Arc<LeafConns>>>,
+    most: std::sync::atomic::AtomicUsize,
+}
+
+/// The adapter to targets. Lock order: the map of leafs, then one leaf's pool.
+#[derive(Clone)]
+pub struct HttpTargets {
+    inner: Arc<Inner>,
+}
+
+impl HttpTargets {
+    /// An adapter without connections, which opens at most `most` to a leaf.
+    #[must_use]
+    pub fn new(config: TargetsConfig, clock: Clock, most: usize) -> Self {
+        let inner = Inner {
+            config,
+            clock,
+            leafs: Mutex::new(BTreeMap::new()),
+            most: most.into(),
+        };
+        Self {
+            inner: Arc::new(inner),
+        }
+    }
+
+    fn leaf(&self, id: &LeafId, address: SocketAddr) -> Arc<LeafConns> {
+        let mut leafs = lock(&self.inner.leafs);
+        if let Some(leaf) = leafs.get(id)
+            && leaf.address == address
+        {
+            return leaf.clone();
+        }
+        let most = self.inner.most.load(std::sync::atomic::Ordering::Relaxed);
+        let leaf = Arc::new(LeafConns {
+            address,
+            pool: Mutex::new((Pool::new(most), BTreeMap::new())),
+            opened: Notify::new(),
+        });
+        leafs.insert(id.clone(), leaf.clone());
+        leaf
+    }
+
+    /// A connection that can carry a call now. Until it is used nothing has
+    /// been handed over, so every failure here is [`Failure::NotSent`].
+    async fn connection(&self, leaf: &Arc<LeafConns>) -> Result<(ConnId, Sender), Failure> {
+        loop {
+            let opened = leaf.opened.notified();
+            let pick = lock(&leaf.pool).0.pick(self.inner.clock.now());
+            let id = match pick {
+                Pick::Use(id) => id,
+                Pick::UseAndOpen { now, open } => {
+                    let (this, leaf) = (self.clone(), leaf.clone());
+                    tokio::spawn(async move { this.open(&leaf, open).await });
+                    now
+                }
+                Pick::Open(id) => {
+                    let (this, leaf) = (self.clone(), leaf.clone());
+                    // In a task of its own: a call that is cancelled must not
+                    // leave the pool waiting for a connection that nobody opens.
+                    tokio::spawn(async move { this.open(&leaf, id).await });
+                    opened.await;
+                    continue;
+                }
+                Pick::Wait => {
+                    opened.await;
+                    continue;
+                }
+                Pick::Down => return Err(Failure::NotSent),
+            };
+            match usable(leaf, id) {
+                Some(sender) => return Ok((id, sender)),
+                None => lock(&leaf.pool).0.closed(id),
+            }
+        }
+    }
+
+    async fn open(&self, leaf: &Arc<LeafConns>, id: ConnId) {
+        let connected = timeout(self.inner.config.connect, self.handshake(leaf, id)).await;
+        let now = self.inner.clock.now();
+        let mut pool = lock(&leaf.pool);
+        match connected {
+            Ok(Ok(sender)) => {
+                pool.1.insert(id, sender);
+                pool.0.opened(id, now);
+            }
+            Ok(Err(_)) | Err(_) => pool.0.refused(id, now),
+        }
+        drop(pool);
+        leaf.opened.notify_waiters();
+    }
+
+    async fn handshake(&self, leaf: &Arc<LeafConns>, id: ConnId) -> Result<Sender, HandshakeError> {
+        let stream = TcpStream::connect(leaf.address)
+            .await
+            .map_err(|_| HandshakeError)?;
+        stream.set_nodelay(true).map_err(|_| HandshakeError)?;
+        let (sender, conn) = http2::Builder::new(TokioExecutor::new())
+            .timer(TokioTimer::new())
+            .keep_alive_interval(self.inner.config.ping)
+            .keep_alive_timeout(self.inner.config.pong)
+            .keep_alive_while_idle(true)
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|_| HandshakeError)?;
+        let weak = Arc::downgrade(leaf);
+        tokio::spawn(async move {
+            // The reason does not matter: each call on it learns its own fate.
+            let _ = conn.await;
+            if let Some(leaf) = weak.upgrade() {
+                let mut pool = lock(&leaf.pool);
+                pool.0.closed(id);
+                pool.1.remove(&id);
+            }
+        });
+        Ok(sender)
+    }
+
+    async fn call(
+        &self,
+        leaf: &Arc<LeafConns>,
+        path: &'static str,
+        body: Vec<u8>,
+    ) -> Result<(StatusCode, Bytes), Failure> {
+        let (id, mut sender) = self.connection(leaf).await?;
+        let request = Request::post(format!("http://{}{path}", leaf.address))
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(body)))
+            .map_err(|_| Failure::NotSent)?;
+        if sender.ready().await.is_err() {
+            lock(&leaf.pool).0.closed(id);
+            return Err(Failure::NotSent);
+        }
+        let mut flight = Flight::start(leaf, id, self.inner.clock);
+        let answer = sender
+            .send_request(request)
+            .await
+            .map_err(|_| Failure::Lost)?;
+        let status = answer.status();
+        let body = self.body(answer.into_body()).await?;
+        flight.answered();
+        Ok((status, body))
+    }
+
+    async fn body(&self, body: Incoming) -> Result<Bytes, Failure> {
+        let limited = Limited::new(body, self.inner.config.answer);
+        let collected = limited.collect().await.map_err(|_| Failure::Lost)?;
+        Ok(collected.to_bytes())
+    }
+}
+
+/// A connection could not be opened; nothing more is known or needed.
+struct HandshakeError;
+
+/// A call on a connection; tells the pool how it ended, also when the call is
+/// cancelled by dropping it.
+struct Flight {
+    leaf: Arc<LeafConns>,
+    id: ConnId,
+    clock: Clock,
+    over: bool,
+}
+
+impl Flight {
+    fn start(leaf: &Arc<LeafConns>, id: ConnId, clock: Clock) -> Self {
+        lock(&leaf.pool).0.sent(id);
+        Self {
+            leaf: leaf.clone(),
+            id,
+            clock,
+            over: false,
+        }
+    }
+
+    fn answered(&mut self) {
+        self.over = true;
+        lock(&self.leaf.pool).0.answered(self.id, self.clock.now());
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if self.over {
+            return;
+        }
+        let mut pool = lock(&self.leaf.pool);
+        if pool.0.missed(self.id, self.clock.now()) {
+            pool.1.remove(&self.id);
+        }
+    }
+}
+
+impl Targets for HttpTargets {
+    fn query(&self, call: LeafQuery) -> BoxFuture<'_, Result<LeafAnswer, Failure>> {
+        async move {
+            let leaf = self.leaf(&call.leaf, call.address);
+            let body = query_body(&call);
+            let (status, answer) = self.call(&leaf, "/query", body).await?;
+            if status != StatusCode::OK {
+                return Err(refusal(&answer));
+            }
+            serde_json::from_slice(&answer).map_err(|_| Failure::Lost)
+        }
+        .boxed()
+    }
+
+    fn submit(&self, call: LeafSubmit) -> BoxFuture<'_, Result<Bytes, Failure>> {
+        async move {
+            let leaf = self.leaf(&call.leaf, call.address);
+            let body = submit_body(&call);
+            let (status, answer) = self.call(&leaf, "/submit", body).await?;
+            if status == StatusCode::OK {
+                Ok(answer)
+            } else {
+                Err(refusal(&answer))
+            }
+        }
+        .boxed()
+    }
+
+    fn state(&self, leaf: LeafId, address: SocketAddr) -> BoxFuture<'_, Option<LeafState>> {
+        async move {
+            let leaf = self.leaf(&leaf, address);
+            let call = self.call(&leaf, "/state", Vec::new());
+            let (_, answer) = timeout(STATE_WAIT, call).await.ok()?.ok()?;
+            serde_json::from_slice(&answer).ok()
+        }
+        .boxed()
+    }
+
+    fn hold(&self, held: Vec<(LeafId, SocketAddr)>, most: usize) {
+        let ordering = std::sync::atomic::Ordering::Relaxed;
+        self.inner.most.store(most, ordering);
+        let keep: BTreeMap<LeafId, SocketAddr> = held.into_iter().collect();
+        let kept: Vec<Arc<LeafConns>> = {
+            let mut leafs = lock(&self.inner.leafs);
+            leafs.retain(|id, leaf| keep.get(id) == Some(&leaf.address));
+            leafs.values().cloned().collect()
+        };
+        for leaf in kept {
+            lock(&leaf.pool).0.set_most(most);
+        }
+        for (id, address) in keep {
+            let this = self.clone();
+            tokio::spawn(async move {
+                let leaf = this.leaf(&id, address);
+                let _ = this.connection(&leaf).await;
+            });
+        }
+    }
+
+    fn connections(&self) -> Vec<(LeafId, usize)> {
+        let leafs = lock(&self.inner.leafs);
+        leafs
+            .iter()
+            .map(|(id, leaf)| (id.clone(), lock(&leaf.pool).0.len()))
+            .collect()
+    }
+}
+
+fn usable(leaf: &LeafConns, id: ConnId) -> Option<Sender> {
+    let pool = lock(&leaf.pool);
+    pool.1.get(&id).filter(|s| !s.is_closed()).cloned()
+}
+
+/// Locks a table. A panic while it was held is a broken invariant that has
+/// ended its task already; the data are counts and handles that stay usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn query_body(call: &LeafQuery) -> Vec<u8> {
+    let mut body = format!(
+        r#"{{"request":{},"service":"{}","version":{},"deadline_ms":{},"shards":["#,
+        call.request.0,
+        call.service,
+        call.version.0,
+        call.deadline.as_millis(),
+    )
+    .into_bytes();
+    // Names hold no character that JSON would escape.
+    for (number, shard) in call.shards.iter().enumerate() {
+        let comma = if number == 0 { "\"" } else { ",\"" };
+        body.extend_from_slice(comma.as_bytes());
+        body.extend_from_slice(shard.as_str().as_bytes());
+        body.push(b'"');
+    }
+    body.extend_from_slice(br#"],"query":"#);
+    body.extend_from_slice(&call.body);
+    body.push(b'}');
+    body
+}
+
+fn submit_body(call: &LeafSubmit) -> Vec<u8> {
+    let mut body = format!(
+        r#"{{"request":{},"service":"{}","call":"{}","deadline_ms":{},"body":"#,
+        call.request.0,
+        call.service,
+        call.call,
+        call.deadline.as_millis(),
+    )
+    .into_bytes();
+    body.extend_from_slice(&call.body);
+    body.push(b'}');
+    body
+}
+
+#[derive(Deserialize)]
+struct RefusalBody {
+    not_run: bool,
+    refused: String,
+}
+
+/// Reads a refusal. Only one that says "not run" by itself counts as such.
+fn refusal(body: &[u8]) -> Failure {
+    let Ok(refusal) = serde_json::from_slice::<RefusalBody>(body) else {
+        return Failure::Lost;
+    };
+    if !refusal.not_run {
+        return Failure::Lost;
+    }
+    Failure::Refused(match refusal.refused.as_str() {
+        "connections" => Refusal::Connections,
+        "draining" => Refusal::Draining,
+        "no_snapshot" => Refusal::NoSnapshot,
+        "deadline" => Refusal::Deadline,
+        _ => Refusal::Shed,
+    })
+}
--- /dev/null
+++ b/crates/route/src/admit.rs
@@ -0,0 +1,302 @@
+//! Which requests of a service run, wait or are refused.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chestnut_unit::{Reason, RequestId, Time, Urgency};
+use rand::Rng;
+
+use crate::Limit;
+
+/// Parameters of the admission to one service.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmitConfig {
+    /// Requests that run at once before anything has been learnt.
+    pub initial: u32,
+    /// Requests that may wait.
+    pub queue: usize,
+}
+
+impl Default for AdmitConfig {
+    fn default() -> Self {
+        Self {
+            initial: 16,
+            queue: 256,
+        }
+    }
+}
+
+/// A request that asks to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The request.
+    pub id: RequestId,
+    /// Its urgency.
+    pub urgency: Urgency,
+    /// Its deadline.
+    pub deadline: Time,
+    /// Whether its template lets it be refused for overload.
+    pub yields: Yields,
+}
+
+/// Whether a request may be refused for overload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Yields {
+    /// It may.
+    Yes,
+    /// It waits until its deadline can't be met.
+    No,
+}
+
+/// The answer to a request that asks to run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It runs now.
+    Run,
+    /// It waits; a [`Release`] follows.
+    Wait,
+    /// It is refused.
+    Refuse {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        after: Duration,
+    },
+}
+
+/// What became of a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Release {
+    /// The request.
+    pub id: RequestId,
+    /// [`Decision::Run`] or [`Decision::Refuse`].
+    pub decision: Decision,
+}
+
+/// Order of the queue: by urgency, then by deadline, then by arrival.
+type Key = (Urgency, Time, RequestId);
+
+/// Share of the deadline that a request which may be refused for overload is
+/// let wait. Past it the answer would come so late that coming back is better.
+const WAIT_SHARE: f64 = 0.5;
+/// After so many releases in a row that passed over less urgent requests, one
+/// of the least urgent runs, unless calls of urgency `now` wait.
+const PASSES_MAX: u32 = 15;
+/// Weight of a new run time in the mean.
+const RUN_WEIGHT: f64 = 0.05;
+/// Shortest time after which a refused caller is asked to come back.
+const AFTER_MIN: Duration = Duration::from_millis(100);
+/// Longest time after which a refused caller is asked to come back.
+const AFTER_MAX: Duration = Duration::from_secs(10);
+
+/// Admission to one service at one entry.
+///
+/// Requests run up to a limit that follows the service. The rest wait in
+/// order of urgency and deadline, and a request that can't make its deadline,
+/// or would wait too long of it, is refused at once and told when to come
+/// back: an answer held until the deadline would cost the caller that time.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    limit: Limit,
+    queue_max: usize,
+    running: u32,
+    queue: BTreeMap<Key, Yields>,
+    passes: u32,
+    run_mean: f64,
+}
+
+impl Admission {
+    /// Admission with nothing running.
+    #[must_use]
+    pub fn new(config: AdmitConfig) -> Self {
+        Self {
+            limit: Limit::new(config.initial),
+            queue_max: config.queue,
+            running: 0,
+            queue: BTreeMap::new(),
+            passes: 0,
+            run_mean: 0.0,
+        }
+    }
+
+    /// Requests that run.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests that wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that may run at once.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        self.limit.get()
+    }
+
+    /// Decides on a new request. Requests that must make room for it are
+    /// added to `out`.
+    pub fn offer(
+        &mut self,
+        order: Order,
+        now: Time,
+        rng: &mut dyn Rng,
+        out: &mut Vec<Release>,
+    ) -> Decision {
+        if self.running < self.limit.get() && self.queue.is_empty() {
+            self.running += 1;
+            return Decision::Run;
+        }
+        let key = (order.urgency, order.deadline, order.id);
+        let wait = self.wait_of(key);
+        let left = order.deadline.since(now).as_secs_f64();
+        if wait + self.run_mean > left {
+            return self.refuse(Reason::Deadline, rng);
+        }
+        if order.yields == Yields::Yes && wait > left * WAIT_SHARE {
+            return self.refuse(Reason::Overload, rng);
+        }
+        if self.queue.len() >= self.queue_max && !self.make_room(key, rng, out) {
+            return self.refuse(Reason::Overload, rng);
+        }
+        self.queue.insert(key, order.yields);
+        Decision::Wait
+    }
+
+    /// Takes the end of a request that ran for `span`, and releases what may
+    /// run now.
+    pub fn done(
+        &mut self,
+        span: Duration,
+        shed: bool,
+        now: Time,
+        rng: &mut dyn Rng,
+        out: &mut Vec<Release>,
+    ) {
+        self.limit.record(span, self.running, shed, now);
+        let sample = span.as_secs_f64();
+        self.run_mean = match self.run_mean {
+            0.0 => sample,
+            mean => mean + RUN_WEIGHT * (sample - mean),
+        };
+        self.running = self.running.saturating_sub(1);
+        self.release(now, rng, out);
+    }
+
+    /// Takes back a place that was given to a request whose caller has gone.
+    pub fn give_back(&mut self, now: Time, rng: &mut dyn Rng, out: &mut Vec<Release>) {
+        self.running = self.running.saturating_sub(1);
+        self.release(now, rng, out);
+    }
+
+    /// Takes back a request that waited and whose caller has gone.
+    pub fn forget(&mut self, id: RequestId) {
+        self.queue.retain(|(_, _, waiting), _| *waiting != id);
+    }
+
+    /// Refuses waiting requests whose deadline can't be met any more.
+    pub fn expire(&mut self, now: Time, rng: &mut dyn Rng, out: &mut Vec<Release>) {
+        let need = Duration::from_secs_f64(self.run_mean);
+        let late: Vec<Key> = self
+            .queue
+            .keys()
+            .filter(|(_, deadline, _)| now + need > *deadline)
+            .copied()
+            .collect();
+        for key in late {
+            self.queue.remove(&key);
+            let decision = self.refuse(Reason::Deadline, rng);
+            out.push(Release {
+                id: key.2,
+                decision,
+            });
+        }
+    }
+
+    /// When [`Admission::expire`] has something to do next.
+    #[must_use]
+    pub fn wake(&self) -> Option<Time> {
+        let need = Duration::from_secs_f64(self.run_mean);
+        let nearest = self.queue.keys().map(|(_, deadline, _)| *deadline).min()?;
+        Some(nearest - need)
+    }
+
+    fn release(&mut self, now: Time, rng: &mut dyn Rng, out: &mut Vec<Release>) {
+        self.expire(now, rng, out);
+        while self.running < self.limit.get() {
+            let Some(key) = self.next() else {
+                return;
+            };
+            self.queue.remove(&key);
+            self.running += 1;
+            out.push(Release {
+                id: key.2,
+                decision: Decision::Run,
+            });
+        }
+    }
+
+    /// The request that runs next. Only calls of urgency `now` can hold back
+    /// the least urgent for good: those let nothing pass.
+    fn next(&mut self) -> Option<Key> {
+        let first = *self.queue.keys().next()?;
+        let last = *self.queue.keys().next_back()?;
+        if first.0 == last.0 || first.0 == Urgency::Now {
+            return Some(first);
+        }
+        self.passes += 1;
+        if self.passes <= PASSES_MAX {
+            return Some(first);
+        }
+        self.passes = 0;
+        let lowest = (last.0, Time::ZERO, RequestId(0));
+        self.queue.range(lowest..).next().map(|(key, _)| *key)
+    }
+
+    /// Seconds that a request with `key` would wait.
+    fn wait_of(&self, key: Key) -> f64 {
+        let ahead = self.queue.range(..key).count() + 1;
+        ahead as f64 * self.run_mean / f64::from(self.limit.get().max(1))
+    }
+
+    /// Drops the least urgent waiting request if it comes after `key` and may
+    /// be refused.
+    fn make_room(&mut self, key: Key, rng: &mut dyn Rng, out: &mut Vec<Release>) -> bool {
+        let last = self
+            .queue
+            .iter()
+            .rev()
+            .find(|(_, yields)| **yields == Yields::Yes)
+            .map(|(last, _)| *last);
+        let Some(last) = last.filter(|last| *last > key) else {
+            return false;
+        };
+        self.queue.remove(&last);
+        let decision = self.refuse(Reason::Overload, rng);
+        out.push(Release {
+            id: last.2,
+            decision,
+        });
+        true
+    }
+
+    fn refuse(&self, reason: Reason, rng: &mut dyn Rng) -> Decision {
+        Decision::Refuse {
+            reason,
+            after: self.come_back(rng),
+        }
+    }
+
+    /// When a refused caller should come back: the time in which the queue
+    /// empties, at random from half of it to one and a half times it, so that
+    /// callers refused together don't return together.
+    fn come_back(&self, rng: &mut dyn Rng) -> Duration {
+        let ahead = self.queue.len() as f64 + f64::from(self.running);
+        let drain = ahead * self.run_mean / f64::from(self.limit.get().max(1));
+        let base = Duration::from_secs_f64(drain).clamp(AFTER_MIN, AFTER_MAX);
+        let spread = 0.5 + rng.next_u64() as f64 / u64::MAX as f64;
+        base.mul_f64(spread)
+    }
+}
--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,52 @@
+//! Budgets of extra calls.
+
+use chestnut_unit::Share;
+
+/// Extra calls allowed as a share of first calls.
+///
+/// Without a budget, retries and hedges grow with the faults that cause them:
+/// targets that slow down under load get more load, and stay slow after the
+/// cause has gone. A share of first calls bounds the extra load whatever the
+/// cause; the burst lets a quiet service answer a sudden loss.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    share: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl Budget {
+    /// A budget of `share` of first calls that saves up to `burst` calls. It
+    /// starts full.
+    #[must_use]
+    pub fn new(share: Share, burst: u32) -> Self {
+        let burst = f64::from(burst);
+        Self {
+            share: share.as_f64(),
+            burst,
+            tokens: burst,
+        }
+    }
+
+    /// Counts `calls` first calls.
+    pub fn earn(&mut self, calls: usize) {
+        let earned = self.share * calls as f64;
+        self.tokens = (self.tokens + earned).min(self.burst);
+    }
+
+    /// Spends one extra call, if the budget allows it.
+    #[must_use]
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Whole calls left.
+    #[must_use]
+    pub fn left(&self) -> u32 {
+        self.tokens as u32
+    }
+}
--- /dev/null
+++ b/crates/route/src/gauge.rs
@@ -0,0 +1,27 @@
+//! Counts of the work of one service, for reports and metrics.
+
+/// Calls of one service since its table was made.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Gauge {
+    /// First calls.
+    pub first: u64,
+    /// Shards asked for by first calls.
+    pub shards: u64,
+    /// Hedges.
+    pub hedges: u64,
+    /// Retries.
+    pub retries: u64,
+    /// Answers or parts that came after their request or shard was done, or
+    /// that named another snapshot, and were dropped.
+    pub dropped: u64,
+    /// Evictions.
+    pub evictions: u64,
+}
+
+impl Gauge {
+    /// Extra calls for each first call.
+    #[must_use]
+    pub fn extra(&self) -> f64 {
+        (self.hedges + self.retries) as f64 / self.first.max(1) as f64
+    }
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,40 @@
+//! Routing decisions of chestnutpost.
+//!
+//! Everything here is state plus event plus `now` in, decision out: no socket,
+//! no clock and no random source of its own. The daemon and the experiments
+//! run the same code; see `docs/design/` for the ways that were weighed.
+//!
+//! - [`Admission`] decides which requests run, wait or are refused.
+//! - [`Table`] holds what is known of each back end; [`Choice`] picks one.
+//! - [`Query`] drives one fan-out: calls, hedges, retries, merge, end.
+//! - [`Attempt`] and [`NotRun`] make "not run" true by construction.
+
+mod admit;
+mod attempt;
+mod budget;
+mod choose;
+mod damped;
+mod estimate;
+mod gauge;
+mod hedge;
+mod limit;
+mod orglimit;
+mod pool;
+mod query;
+mod table;
+mod versions;
+
+pub use admit::{Admission, AdmitConfig, Decision, Order, Release, Yields};
+pub use attempt::{Attempt, Ended, Fate, NotRun, Planned, Queued, Sent};
+pub use budget::Budget;
+pub use choose::{Choice, choose_replica};
+pub use damped::Damped;
+pub use estimate::{Estimate, Quantiles};
+pub use gauge::Gauge;
+pub use hedge::{Hedge, HedgeTimer};
+pub use limit::Limit;
+pub use orglimit::{OrgGate, OrgGates};
+pub use pool::{ConnId, Pick, Pool};
+pub use query::{Action, CallId, CallKind, Context, End, Give, Query, QueryConfig};
+pub use table::{Backend, Eviction, Failure, Guard, Ix, Refusal, Table, TableConfig};
+pub use versions::{Route, Routes, Versions};
--- /dev/null
+++ b/crates/route/src/query.rs
@@ -0,0 +1,558 @@
+//! One fan-out over the shards of a snapshot, from first call to merge.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use chestnut_unit::{Coverage, IndexVersion, Share, Time};
+use rand::Rng;
+
+use crate::{
+    Attempt, Ended, Failure, HedgeTimer, Ix, NotRun, Refusal, Routes, Sent, Table,
+    choose::choose_replica,
+};
+
+/// Number of a call within its query.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId(pub u32);
+
+/// Why a call is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallKind {
+    /// The first call for its shards.
+    First,
+    /// A second call for shards that are late.
+    Hedge,
+    /// A call after an earlier one was lost or shed.
+    Retry,
+    /// A call after an earlier one that cost its target nothing: it never
+    /// left this entry, or the target is leaving or lacks the snapshot. It
+    /// adds no load, so no budget limits it; the number of replicas does.
+    Reroute,
+}
+
+impl CallKind {
+    /// The word in logs.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+            Self::Reroute => "reroute",
+        }
+    }
+}
+
+/// What the caller of the decision has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Call a back end.
+    Call {
+        /// Number of the call.
+        call: CallId,
+        /// The back end.
+        to: Ix,
+        /// Shards asked, as positions in the query.
+        shards: Vec<usize>,
+        /// Why.
+        kind: CallKind,
+        /// Deadline for the back end, earlier than the query's.
+        deadline: Time,
+    },
+    /// Cancel a call: nothing waits for it any more.
+    Cancel(CallId),
+}
+
+/// Why a query ended without all its shards.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Give {
+    /// The deadline came.
+    Deadline,
+    /// A shard has no replica left to try, or no budget to try it.
+    NoReplica,
+    /// A shard's replicas no longer have the snapshot.
+    SnapshotLost,
+}
+
+/// How a query ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// All shards answered.
+    Whole,
+    /// Some did not.
+    Partial(Give),
+}
+
+/// Parameters of one query.
+#[derive(Clone, Copy, Debug)]
+pub struct QueryConfig {
+    /// When the answer must be ready.
+    pub deadline: Time,
+    /// Least share of shards that the answer must cover; once it is out of
+    /// reach the query ends.
+    pub least: Share,
+}
+
+/// Time that an answer needs from a back end to the caller of the decision,
+/// taken off the deadline at each hop.
+const HOP: Duration = Duration::from_millis(1);
+
+#[derive(Debug)]
+struct Shard<P> {
+    route: usize,
+    part: Option<P>,
+    tried: Vec<Ix>,
+    live: u32,
+    latest: Time,
+}
+
+#[derive(Debug)]
+enum Life {
+    Live(Attempt<Sent>),
+    Over,
+}
+
+#[derive(Debug)]
+struct Call {
+    shards: Vec<usize>,
+    life: Life,
+}
+
+/// What comes with every event: the table, the time and the random source.
+pub struct Context<'a> {
+    /// What is known of the back ends.
+    pub table: &'a mut Table,
+    /// The present time.
+    pub now: Time,
+    /// Random source.
+    pub rng: &'a mut dyn Rng,
+    /// Receives what has to be done.
+    pub out: &'a mut Vec<Action>,
+}
+
+/// One query. `P` is the part that a shard contributes.
+#[derive(Debug)]
+pub struct Query<P> {
+    routes: Arc<Routes>,
+    config: QueryConfig,
+    shards: Vec<Shard<P>>,
+    calls: Vec<Call>,
+    ends: Vec<Ended>,
+    pending: usize,
+    timer: Option<HedgeTimer>,
+    end: Option<End>,
+    shed: bool,
+}
+
+impl<P> Query<P> {
+    /// Starts a query over all shards of `routes`, or over those in `subset`.
+    pub fn start(
+        routes: Arc<Routes>,
+        subset: Option<&[usize]>,
+        config: QueryConfig,
+        cx: &mut Context<'_>,
+    ) -> Self {
+        let all: Vec<usize> = (0..routes.shards.len()).collect();
+        let chosen = subset.unwrap_or(&all);
+        let delay = cx.table.config.hedge.delay(&cx.table.calls);
+        let mut query = Self {
+            shards: chosen.iter().map(|route| Shard::new(*route)).collect(),
+            pending: chosen.len(),
+            routes,
+            config,
+            calls: Vec::new(),
+            ends: Vec::new(),
+            timer: delay.map(|delay| HedgeTimer::new(cx.now, delay)),
+            end: None,
+            shed: false,
+        };
+        let every: Vec<usize> = (0..query.shards.len()).collect();
+        query.call(&every, CallKind::First, cx);
+        query.settle(cx);
+        query
+    }
+
+    /// Takes an answer. Parts of another snapshot, of shards that were not
+    /// asked in this call or that are done, are dropped.
+    pub fn answer(
+        &mut self,
+        id: CallId,
+        version: IndexVersion,
+        parts: Vec<(usize, P)>,
+        cx: &mut Context<'_>,
+    ) {
+        let Some(attempt) = self.take(id) else {
+            cx.table.gauge.dropped += parts.len() as u64;
+            return;
+        };
+        let to = attempt.to();
+        let span = cx.now.since(attempt.sent_at());
+        self.ends.push(attempt.answer());
+        cx.table.answered(to, span, cx.now);
+        if version == self.version() {
+            self.merge(id, parts, cx);
+        } else {
+            cx.table.gauge.dropped += parts.len() as u64;
+            cx.table.lacks(to, self.version(), cx.now);
+        }
+        self.release(id, CallKind::Retry, cx);
+        self.settle(cx);
+    }
+
+    /// Takes the failure of a call.
+    pub fn fail(&mut self, id: CallId, failure: Failure, cx: &mut Context<'_>) {
+        let Some(attempt) = self.take(id) else {
+            return;
+        };
+        let to = attempt.to();
+        self.ends.push(match failure {
+            Failure::Lost => attempt.lose(),
+            Failure::Refused(_) => attempt.refuse_unrun(),
+            Failure::NotSent => attempt.prove_unsent(),
+        });
+        cx.table.failed(to, failure, cx.now);
+        if failure == Failure::Refused(Refusal::NoSnapshot) {
+            cx.table.lacks(to, self.version(), cx.now);
+        }
+        self.shed |= failure == Failure::Refused(Refusal::Shed);
+        self.release(id, kind_after(failure), cx);
+        self.settle(cx);
+    }
+
+    /// Takes the passing of time.
+    pub fn tick(&mut self, cx: &mut Context<'_>) {
+        if self.end.is_some() {
+            return;
+        }
+        if cx.now >= self.config.deadline {
+            self.finish(End::Partial(Give::Deadline), cx);
+            return;
+        }
+        if self.timer.is_some_and(|timer| cx.now >= timer.due()) {
+            self.hedge(cx);
+        }
+    }
+
+    /// Ends a query that nobody waits for any more.
+    pub fn abandon(&mut self, cx: &mut Context<'_>) {
+        if self.end.is_none() {
+            self.finish(End::Partial(Give::Deadline), cx);
+        }
+    }
+
+    /// When [`Query::tick`] has something to do next.
+    #[must_use]
+    pub fn wake(&self) -> Time {
+        let due = self.timer.map_or(Time::MAX, |timer| timer.due());
+        due.min(self.config.deadline)
+    }
+
+    /// How the query ended, if it has.
+    #[must_use]
+    pub fn end(&self) -> Option<End> {
+        self.end
+    }
+
+    /// Whether a target shed a call of this query.
+    #[must_use]
+    pub fn met_shed(&self) -> bool {
+        self.shed
+    }
+
+    /// Proof that no target ran any part of the query, if there is one.
+    #[must_use]
+    pub fn not_run(&self) -> Option<NotRun> {
+        let live = self.calls.iter().any(|c| matches!(c.life, Life::Live(_)));
+        if live {
+            None
+        } else {
+            NotRun::prove(&self.ends)
+        }
+    }
+
+    /// Calls made so far.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// The routes that the query pinned.
+    #[must_use]
+    pub fn routes(&self) -> &Arc<Routes> {
+        &self.routes
+    }
+
+    /// Position in the pinned routes of the shard at `position`.
+    #[must_use]
+    pub fn route_of(&self, position: usize) -> usize {
+        self.shards[position].route
+    }
+
+    /// What the merged parts cover.
+    #[must_use]
+    pub fn coverage(&self) -> Coverage {
+        let name = |shard: &Shard<P>| self.routes.shards[shard.route].name.clone();
+        let asked: Vec<_> = self.shards.iter().map(name).collect();
+        let merged: Vec<_> = self.shards.iter().map(|s| s.part.is_some()).collect();
+        Coverage::from_merged(&asked, &merged)
+    }
+
+    /// The merged parts with their positions in the pinned routes, in order.
+    pub fn into_parts(self) -> impl Iterator<Item = (usize, P)> {
+        self.shards
+            .into_iter()
+            .filter_map(|shard| shard.part.map(|part| (shard.route, part)))
+    }
+
+    fn version(&self) -> IndexVersion {
+        self.routes.snapshot.version
+    }
+
+    /// Ends the life of a call and returns its attempt, if it was live.
+    fn take(&mut self, id: CallId) -> Option<Attempt<Sent>> {
+        let call = self.calls.get_mut(id.0 as usize)?;
+        match std::mem::replace(&mut call.life, Life::Over) {
+            Life::Live(attempt) => Some(attempt),
+            Life::Over => None,
+        }
+    }
+
+    fn merge(&mut self, id: CallId, parts: Vec<(usize, P)>, cx: &mut Context<'_>) {
+        let asked = std::mem::take(&mut self.calls[id.0 as usize].shards);
+        for (position, part) in parts {
+            let wanted = asked.contains(&position) && self.shards[position].part.is_none();
+            if !wanted {
+                cx.table.gauge.dropped += 1;
+                continue;
+            }
+            self.shards[position].part = Some(part);
+            self.pending -= 1;
+        }
+        self.calls[id.0 as usize].shards = asked;
+    }
+
+    /// Lets go of the shards of a call that has ended: those still without a
+    /// part and without another live call are tried again or given up.
+    fn release(&mut self, id: CallId, again: CallKind, cx: &mut Context<'_>) {
+        let shards = std::mem::take(&mut self.calls[id.0 as usize].shards);
+        let mut orphans = Vec::new();
+        for position in &shards {
+            let shard = &mut self.shards[*position];
+            shard.live -= 1;
+            if shard.part.is_none() && shard.live == 0 {
+                orphans.push(*position);
+            }
+        }
+        self.calls[id.0 as usize].shards = shards;
+        self.cancel_useless(cx);
+        if !orphans.is_empty() && self.end.is_none() {
+            self.retry(&orphans, again, cx);
+        }
+    }
+
+    fn retry(&mut self, orphans: &[usize], kind: CallKind, cx: &mut Context<'_>) {
+        if cx.now + HOP >= self.config.deadline {
+            return;
+        }
+        self.call(orphans, kind, cx);
+    }
+
+    /// Calls a second replica for the shards that are late.
+    fn hedge(&mut self, cx: &mut Context<'_>) {
+        let Some(timer) = &mut self.timer else {
+            return;
+        };
+        let hedge = cx.table.config.hedge;
+        let Some(delay) = hedge.delay(&cx.table.calls) else {
+            return;
+        };
+        timer.again(cx.now);
+        if !hedge.is_late(self.pending, self.shards.len()) {
+            return;
+        }
+        let late: Vec<usize> = (0..self.shards.len())
+            .filter(|position| {
+                let shard = &self.shards[*position];
+                shard.part.is_none() && shard.live > 0 && shard.latest + delay <= cx.now
+            })
+            .collect();
+        if !late.is_empty() {
+            self.call(&late, CallKind::Hedge, cx);
+        }
+    }
+
+    /// Chooses a replica for each shard and makes one call to each replica
+    /// chosen. A shard without a replica, or whose call no budget pays, gets
+    /// none.
+    fn call(&mut self, positions: &[usize], kind: CallKind, cx: &mut Context<'_>) {
+        let mut plan: BTreeMap<Ix, Vec<usize>> = BTreeMap::new();
+        for position in positions {
+            if let Some(to) = self.choose_for(*position, kind, cx) {
+                plan.entry(to).or_default().push(*position);
+            }
+        }
+        if kind == CallKind::First {
+            cx.table.gauge.first += plan.len() as u64;
+            cx.table.gauge.shards += positions.len() as u64;
+            cx.table.hedges.earn(plan.len());
+            cx.table.retries.earn(plan.len());
+        }
+        for (to, shards) in plan {
+            if pay(kind, cx) {
+                self.send(to, shards, kind, cx);
+            }
+        }
+    }
+
+    fn choose_for(&self, position: usize, kind: CallKind, cx: &mut Context<'_>) -> Option<Ix> {
+        let shard = &self.shards[position];
+        let replicas = &self.routes.shards[shard.route].replicas;
+        let to = choose_replica(
+            cx.table,
+            replicas,
+            &shard.tried,
+            self.version(),
+            cx.now,
+            cx.rng,
+        )?;
+        let need = Duration::from_nanos(cx.table.expected(to, cx.now) as u64);
+        let pointless = kind == CallKind::Hedge && cx.now + need >= self.config.deadline;
+        (!pointless).then_some(to)
+    }
+
+    fn send(&mut self, to: Ix, shards: Vec<usize>, kind: CallKind, cx: &mut Context<'_>) {
+        let id = CallId(u32::try_from(self.calls.len()).expect("fewer than 2^32 calls"));
+        for position in &shards {
+            let shard = &mut self.shards[*position];
+            shard.tried.push(to);
+            shard.live += 1;
+            shard.latest = cx.now;
+        }
+        cx.table.sent(to);
+        cx.out.push(Action::Call {
+            call: id,
+            to,
+            shards: shards.clone(),
+            kind,
+            deadline: self.config.deadline - HOP,
+        });
+        let attempt = Attempt::plan(to).queue().send(cx.now);
+        self.calls.push(Call {
+            shards,
+            life: Life::Live(attempt),
+        });
+    }
+
+    /// Cancels calls of which every shard has its part.
+    fn cancel_useless(&mut self, cx: &mut Context<'_>) {
+        for number in 0..self.calls.len() {
+            let call = &self.calls[number];
+            let live = matches!(call.life, Life::Live(_));
+            let wanted = |p: &usize| self.shards[*p].part.is_none();
+            if live && !call.shards.iter().any(wanted) {
+                self.cancel(CallId(number as u32), cx);
+            }
+        }
+    }
+
+    fn cancel(&mut self, id: CallId, cx: &mut Context<'_>) {
+        let Some(attempt) = self.take(id) else {
+            return;
+        };
+        let span = cx.now.since(attempt.sent_at());
+        cx.table.cancelled(attempt.to(), span, cx.now);
+        self.ends.push(attempt.lose());
+        for position in &self.calls[id.0 as usize].shards {
+            self.shards[*position].live -= 1;
+        }
+        cx.out.push(Action::Cancel(id));
+    }
+
+    /// Ends the query if nothing more can come of it.
+    fn settle(&mut self, cx: &mut Context<'_>) {
+        if self.end.is_some() {
+            return;
+        }
+        if self.pending == 0 {
+            self.finish(End::Whole, cx);
+            return;
+        }
+        let hopeless: Vec<usize> = (0..self.shards.len())
+            .filter(|p| self.shards[*p].part.is_none() && self.shards[*p].live == 0)
+            .collect();
+        if hopeless.is_empty() {
+            return;
+        }
+        let reachable = self.shards.len() - hopeless.len();
+        let needed = self.config.least.as_f64() * self.shards.len() as f64;
+        if hopeless.len() == self.pending || (reachable as f64) < needed {
+            let give = self.why(&hopeless, cx);
+            self.finish(End::Partial(give), cx);
+        }
+    }
+
+    /// Why shards have no live call and get none.
+    fn why(&self, hopeless: &[usize], cx: &Context<'_>) -> Give {
+        if cx.now + HOP >= self.config.deadline {
+            return Give::Deadline;
+        }
+        let version = self.version();
+        let lost = hopeless.iter().any(|position| {
+            let route = self.shards[*position].route;
+            let replicas = &self.routes.shards[route].replicas;
+            !replicas.is_empty()
+                && !replicas
+                    .iter()
+                    .any(|ix| cx.table.is_open(*ix, version, cx.now))
+        });
+        if lost {
+            Give::SnapshotLost
+        } else {
+            Give::NoReplica
+        }
+    }
+
+    fn finish(&mut self, end: End, cx: &mut Context<'_>) {
+        self.end = Some(end);
+        for number in 0..self.calls.len() {
+            self.cancel(CallId(number as u32), cx);
+        }
+    }
+}
+
+impl<P> Shard<P> {
+    fn new(route: usize) -> Self {
+        Self {
+            route,
+            part: None,
+            tried: Vec::new(),
+            live: 0,
+            latest: Time::ZERO,
+        }
+    }
+}
+
+/// The kind of the call that makes good a failed one.
+fn kind_after(failure: Failure) -> CallKind {
+    match failure {
+        Failure::NotSent
+        | Failure::Refused(Refusal::Draining | Refusal::NoSnapshot | Refusal::Connections) => {
+            CallKind::Reroute
+        }
+        Failure::Refused(_) | Failure::Lost => CallKind::Retry,
+    }
+}
+
+/// Takes a call of `kind` from its budget.
+fn pay(kind: CallKind, cx: &mut Context<'_>) -> bool {
+    let paid = match kind {
+        CallKind::First | CallKind::Reroute => true,
+        CallKind::Hedge => cx.table.hedges.spend(),
+        CallKind::Retry => cx.table.retries.spend(),
+    };
+    match kind {
+        CallKind::Hedge if paid => cx.table.gauge.hedges += 1,
+        CallKind::Retry if paid => cx.table.gauge.retries += 1,
+        _ => {}
+    }
+    paid
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,426 @@
+//! What an entry knows of the back ends of one service.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    time::Duration,
+};
+
+use chestnut_unit::{IndexVersion, LeafId, MemberId, Share, Time};
+
+use crate::{Budget, Choice, Damped, Estimate, Gauge, Hedge, Quantiles};
+
+/// A back end of a service, as one entry sees it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Backend {
+    /// A leaf that this entry holds and calls itself.
+    Leaf(LeafId),
+    /// A peer that holds leafs for which this entry asks it.
+    Peer(MemberId),
+}
+
+impl fmt::Display for Backend {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Leaf(id) => write!(f, "leaf {id}"),
+            Self::Peer(id) => write!(f, "peer {id}"),
+        }
+    }
+}
+
+/// Number of a back end in its table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ix(u32);
+
+impl Ix {
+    /// Position in the table's list.
+    #[must_use]
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Why a target refused a call before running any of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// It sheds load.
+    Shed,
+    /// Its connections are used up.
+    Connections,
+    /// It is leaving.
+    Draining,
+    /// It no longer has, or doesn't yet have, the snapshot.
+    NoSnapshot,
+    /// The deadline is too near.
+    Deadline,
+}
+
+/// How a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Nothing was handed to a connection.
+    NotSent,
+    /// The target refused it unrun.
+    Refused(Refusal),
+    /// It was sent and no usable answer came.
+    Lost,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent => f.write_str("not sent"),
+            Self::Refused(refusal) => write!(f, "refused: {refusal:?}"),
+            Self::Lost => f.write_str("lost"),
+        }
+    }
+}
+
+/// Parameters of a table.
+#[derive(Clone, Debug)]
+pub struct TableConfig {
+    /// How a replica is chosen.
+    pub choice: Choice,
+    /// How hedges are timed.
+    pub hedge: Hedge,
+    /// Share of extra calls for hedges.
+    pub hedge_share: Share,
+    /// Share of extra calls for retries.
+    pub retry_share: Share,
+    /// Whether outliers are evicted and cold leafs ramped up.
+    pub guard: Guard,
+}
+
+/// Whether the table guards against faulty leafs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Guard {
+    /// Evict outliers, back off from refusals, ramp up cold leafs.
+    On,
+    /// None of it, for the naive baseline.
+    Off,
+}
+
+impl Default for TableConfig {
+    fn default() -> Self {
+        Self {
+            choice: Choice::Predicted,
+            hedge: Hedge::Late {
+                times: 4.0,
+                missing: 0.34,
+            },
+            hedge_share: Share::from_permille(30),
+            retry_share: Share::from_permille(100),
+            guard: Guard::On,
+        }
+    }
+}
+
+/// Calls that a budget saves up, so that a service at rest can hedge or retry
+/// a whole fan-out at once.
+const BURST: u32 = 64;
+/// The quantile of call durations after which a call counts as late. Its
+/// complement is just below the hedge budget.
+const LATE_QUANTILE: f64 = 0.975;
+/// Points of failure in a row after which a back end is evicted.
+const POINTS_MAX: u32 = 9;
+/// Points of a call that was lost or could not be sent.
+const POINTS_LOST: u32 = 3;
+/// Points of a call that was cancelled late: its connection may be at fault,
+/// which the pool finds out first.
+const POINTS_LATE: u32 = 1;
+/// Length of the first eviction; each further one doubles it.
+const EVICT_FIRST: Duration = Duration::from_millis(500);
+/// Longest eviction.
+const EVICT_MAX: Duration = Duration::from_secs(30);
+/// How long a leaf that refused a call is passed over. Long enough for a slot
+/// to come free, short enough not to idle the leaf.
+const REFUSED_REST: Duration = Duration::from_millis(20);
+/// How long a leaf that lacks a snapshot is not asked for it again.
+const LACK_REST: Duration = Duration::from_secs(1);
+/// Time in which a cold leaf's share grows to a full one.
+const RAMP: Duration = Duration::from_secs(10);
+
+/// An eviction, for the log line that goes with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Eviction {
+    /// The back end.
+    pub backend: Backend,
+    /// For how long.
+    pub span: Duration,
+    /// The last of the failures that caused it.
+    pub failure: Failure,
+}
+
+/// State of one back end.
+#[derive(Clone, Debug)]
+pub(crate) struct State {
+    pub(crate) backend: Backend,
+    pub(crate) slots: u32,
+    pub(crate) outstanding: u32,
+    pub(crate) estimate: Estimate,
+    points: u32,
+    evictions: u32,
+    evicted: Option<Time>,
+    rest: Time,
+    leaving: bool,
+    since: Time,
+    hint: f64,
+    lacks: BTreeMap<IndexVersion, Time>,
+}
+
+/// What an entry knows of the back ends of one service, and the budgets and
+/// counts of its calls to them.
+#[derive(Clone, Debug)]
+pub struct Table {
+    pub(crate) config: TableConfig,
+    pub(crate) states: Vec<State>,
+    index: BTreeMap<Backend, Ix>,
+    pub(crate) calls: Quantiles,
+    pub(crate) hedges: Budget,
+    pub(crate) retries: Budget,
+    pub(crate) gauge: Gauge,
+    pub(crate) turn: u64,
+    pub(crate) damped: Damped,
+    evicted: Vec<Eviction>,
+}
+
+impl Table {
+    /// An empty table.
+    #[must_use]
+    pub fn new(config: TableConfig) -> Self {
+        Self {
+            hedges: Budget::new(config.hedge_share, BURST),
+            retries: Budget::new(config.retry_share, BURST),
+            config,
+            states: Vec::new(),
+            index: BTreeMap::new(),
+            calls: Quantiles::new(LATE_QUANTILE),
+            gauge: Gauge::default(),
+            turn: 0,
+            damped: Damped::default(),
+            evicted: Vec::new(),
+        }
+    }
+
+    /// The number of a back end, which is added if it is new.
+    pub fn add(&mut self, backend: Backend, slots: u32, now: Time) -> Ix {
+        if let Some(ix) = self.index.get(&backend) {
+            self.states[ix.index()].slots = slots;
+            return *ix;
+        }
+        let ix = Ix(u32::try_from(self.states.len()).expect("fewer than 2^32 back ends"));
+        self.index.insert(backend.clone(), ix);
+        self.states.push(State {
+            backend,
+            slots,
+            outstanding: 0,
+            estimate: Estimate::default(),
+            points: 0,
+            evictions: 0,
+            evicted: None,
+            rest: Time::ZERO,
+            leaving: false,
+            since: now,
+            hint: 1.0,
+            lacks: BTreeMap::new(),
+        });
+        ix
+    }
+
+    /// The number of a known back end.
+    #[must_use]
+    pub fn find(&self, backend: &Backend) -> Option<Ix> {
+        self.index.get(backend).copied()
+    }
+
+    /// The back end with a number.
+    #[must_use]
+    pub fn backend(&self, ix: Ix) -> &Backend {
+        &self.states[ix.index()].backend
+    }
+
+    /// Marks a back end as leaving, or as back in a later life.
+    pub fn set_leaving(&mut self, ix: Ix, leaving: bool, now: Time) {
+        let state = &mut self.states[ix.index()];
+        if state.leaving && !leaving {
+            state.since = now;
+        }
+        state.leaving = leaving;
+    }
+
+    /// Takes a hint of the health or load endpoint: the factor, 1 or more, by
+    /// which the back end looks worse than its calls tell. A hint only orders
+    /// back ends; it never evicts one, because the endpoints lag and lie.
+    pub fn set_hint(&mut self, ix: Ix, factor: f64) {
+        self.states[ix.index()].hint = factor.clamp(1.0, HINT_MAX);
+    }
+
+    /// Calls that wait for a back end's answer.
+    #[must_use]
+    pub fn outstanding(&self, ix: Ix) -> u32 {
+        self.states[ix.index()].outstanding
+    }
+
+    /// Whether the back end is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, ix: Ix) -> bool {
+        self.states[ix.index()].leaving
+    }
+
+    /// Until when the back end is evicted, if it is.
+    #[must_use]
+    pub fn evicted_until(&self, ix: Ix, now: Time) -> Option<Time> {
+        self.states[ix.index()].evicted.filter(|until| now < *until)
+    }
+
+    /// Counts of the calls.
+    #[must_use]
+    pub fn gauge(&self) -> Gauge {
+        self.gauge
+    }
+
+    /// Durations of recent calls.
+    #[must_use]
+    pub fn calls(&self) -> &Quantiles {
+        &self.calls
+    }
+
+    /// Evictions since the last call of this function.
+    pub fn take_evictions(&mut self) -> Vec<Eviction> {
+        std::mem::take(&mut self.evicted)
+    }
+
+    /// All back ends.
+    pub fn backends(&self) -> impl Iterator<Item = (Ix, &Backend)> {
+        self.index.iter().map(|(backend, ix)| (*ix, backend))
+    }
+
+    /// Counts a call that is being sent.
+    pub fn sent(&mut self, ix: Ix) {
+        self.states[ix.index()].outstanding += 1;
+    }
+
+    /// Takes an answer after `span`.
+    pub fn answered(&mut self, ix: Ix, span: Duration, now: Time) {
+        self.calls.record(span);
+        self.damped.record(ix, span, now);
+        let state = &mut self.states[ix.index()];
+        state.outstanding = state.outstanding.saturating_sub(1);
+        state.estimate.record(span, now);
+        state.points = 0;
+        state.evictions = 0;
+        state.evicted = None;
+    }
+
+    /// Takes the failure of a call.
+    pub fn failed(&mut self, ix: Ix, failure: Failure, now: Time) {
+        let state = &mut self.states[ix.index()];
+        state.outstanding = state.outstanding.saturating_sub(1);
+        match failure {
+            Failure::Refused(Refusal::Draining) => state.leaving = true,
+            Failure::Refused(Refusal::NoSnapshot | Refusal::Deadline) => {}
+            Failure::Refused(_) => state.rest = now + REFUSED_REST,
+            Failure::NotSent | Failure::Lost => self.count(POINTS_LOST, ix, failure, now),
+        }
+    }
+
+    /// Takes a call that was cancelled unanswered after `span`. A back end
+    /// that lets calls run into cancellation one after the other is frozen or
+    /// silent, though it never fails a call by itself.
+    pub fn cancelled(&mut self, ix: Ix, span: Duration, now: Time) {
+        let late = self.calls.high().max(self.calls.median() * 3);
+        let state = &mut self.states[ix.index()];
+        state.outstanding = state.outstanding.saturating_sub(1);
+        state.estimate.record_at_least(span, now);
+        if span > late && self.calls.count() > 0 {
+            self.count(POINTS_LATE, ix, Failure::Lost, now);
+        }
+    }
+
+    /// Marks a back end as lacking a snapshot for a while.
+    pub fn lacks(&mut self, ix: Ix, version: IndexVersion, now: Time) {
+        let state = &mut self.states[ix.index()];
+        state.lacks.retain(|_, until| now < *until);
+        state.lacks.insert(version, now + LACK_REST);
+    }
+
+    /// Whether a back end may be sent work of `version`, eviction apart.
+    #[must_use]
+    pub fn is_open(&self, ix: Ix, version: IndexVersion, now: Time) -> bool {
+        let state = &self.states[ix.index()];
+        let lacking = state.lacks.get(&version).is_some_and(|until| now < *until);
+        !state.leaving && !lacking
+    }
+
+    /// Whether a back end rests after refusing a call.
+    #[must_use]
+    pub(crate) fn is_resting(&self, ix: Ix, now: Time) -> bool {
+        self.config.guard == Guard::On && now < self.states[ix.index()].rest
+    }
+
+    /// Expected nanoseconds of a call, from what calls took.
+    #[must_use]
+    pub fn expected(&self, ix: Ix, now: Time) -> f64 {
+        let typical = self.calls.median().as_nanos() as f64;
+        self.states[ix.index()].estimate.mean_at(now, typical)
+    }
+
+    /// Factor by which a hint and the ramp of a cold leaf worsen a score.
+    #[must_use]
+    pub(crate) fn handicap(&self, ix: Ix, now: Time) -> f64 {
+        let state = &self.states[ix.index()];
+        if self.config.guard == Guard::Off {
+            return 1.0;
+        }
+        let age = now.since(state.since).as_secs_f64() / RAMP.as_secs_f64();
+        let ramp = if state.since > Time::ZERO && age < 1.0 {
+            COLD_HANDICAP - (COLD_HANDICAP - 1.0) * age
+        } else {
+            1.0
+        };
+        state.hint * ramp
+    }
+
+    fn count(&mut self, points: u32, ix: Ix, failure: Failure, now: Time) {
+        if self.config.guard == Guard::Off {
+            return;
+        }
+        let state = &mut self.states[ix.index()];
+        state.points += points;
+        let evicted = state.evicted.is_some_and(|until| now < until);
+        if state.points < POINTS_MAX || evicted {
+            return;
+        }
+        let span = (EVICT_FIRST * 2u32.pow(state.evictions.min(8))).min(EVICT_MAX);
+        state.evictions += 1;
+        state.evicted = Some(now + span);
+        self.gauge.evictions += 1;
+        self.evicted.push(Eviction {
+            backend: state.backend.clone(),
+            span,
+            failure,
+        });
+    }
+}
+
+/// Largest factor that a hint may worsen a score by. At 2 an idle replica that
+/// calls itself busy is still preferred to a busy one that calls itself idle
+/// once their calls differ by as much.
+const HINT_MAX: f64 = 2.0;
+/// Factor on the score of a leaf that has just appeared.
+const COLD_HANDICAP: f64 = 3.0;
+
+/// The set of back ends that are evicted among `replicas`, at most a third of
+/// them (one of three, none of two): if most replicas of a shard look faulty,
+/// the fault is more likely on our side or general, and calling nobody would
+/// turn it into an outage.
+#[must_use]
+pub(crate) fn evicted_among(table: &Table, replicas: &[Ix], now: Time) -> BTreeSet<Ix> {
+    let most = replicas.len() / 3;
+    replicas
+        .iter()
+        .copied()
+        .filter(|ix| table.evicted_until(*ix, now).is_some())
+        .take(most)
+        .collect()
+}
--- /dev/null
+++ b/crates/tier/src/edge.rs
@@ -0,0 +1,292 @@
+//! HTTP towards callers. The forms are in `docs/INTERFACES.md`.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use chestnut_audit::Receipt;
+use chestnut_fleet::Entry;
+use chestnut_once::Ticket;
+use chestnut_unit::{CallType, DomainName, OrgName, Reason, ServiceName};
+use hyper::{
+    Method, Request, StatusCode,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue, RETRY_AFTER},
+};
+use serde::Deserialize;
+use serde_json::{json, value::RawValue};
+
+use crate::{
+    api::{Answer, QueryRequest, Refused, SubmitOutcome, SubmitRequest},
+    refuse::{Subject, Why, refuse},
+    shared::Phase,
+    tier::{EMPTY, Tier},
+    web::{self, BodyError, Reply, WebLimits},
+};
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct QueryBody<'a> {
+    organisation: OrgName,
+    service: ServiceName,
+    call: CallType,
+    deadline_ms: Option<u64>,
+    #[serde(borrow)]
+    query: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SubmitBody<'a> {
+    ticket: Option<String>,
+    organisation: OrgName,
+    service: ServiceName,
+    call: CallType,
+    deadline_ms: Option<u64>,
+    #[serde(borrow)]
+    body: Option<&'a RawValue>,
+}
+
+/// Answers one caller's request.
+pub(crate) async fn handle(tier: Tier, limits: WebLimits, request: Request<Incoming>) -> Reply {
+    let path = request.uri().path().to_owned();
+    let method = request.method().clone();
+    let mut reply = match (method, path.as_str()) {
+        (Method::GET, "/v1/entries") => entries(&tier, request.uri().query()),
+        (Method::POST, "/v1/query") => query(&tier, &limits, request).await,
+        (Method::POST, "/v1/tickets") => ticket(&tier),
+        (Method::POST, "/v1/submit") => submit(&tier, &limits, request).await,
+        (Method::GET, path) if path.starts_with(REFUSALS) => {
+            explain(&tier, &path[REFUSALS.len()..])
+        }
+        (_, "/v1/entries" | "/v1/query" | "/v1/tickets" | "/v1/submit") => web::error(
+            StatusCode::METHOD_NOT_ALLOWED,
+            "use the method in the reference",
+        ),
+        _ => web::error(StatusCode::NOT_FOUND, "no such path; see the reference"),
+    };
+    // A caller that keeps its connection open would never come to ask for the
+    // entries again, and be cut off when this one stops.
+    if tier.shared.phase() == Phase::Leaving {
+        let close = HeaderValue::from_static("close");
+        reply.headers_mut().insert(CONNECTION, close);
+    }
+    reply
+}
+
+const REFUSALS: &str = "/v1/refusals/";
+
+fn entries(tier: &Tier, query: Option<&str>) -> Reply {
+    let domain = web::param(query, "domain").and_then(|name| DomainName::new(name).ok());
+    let list = tier.entries(domain.as_ref());
+    let body = json!({
+        "entries": list.entries.iter().map(entry_json).collect::<Vec<_>>(),
+        "ttl_ms": list.ttl.as_millis() as u64,
+    });
+    web::json(StatusCode::OK, body.to_string())
+}
+
+async fn query(tier: &Tier, limits: &WebLimits, request: Request<Incoming>) -> Reply {
+    let body = match web::read_body(request.into_body(), limits).await {
+        Ok(body) => body,
+        Err(error) => return bad_body(tier, error),
+    };
+    let parsed: QueryBody<'_> = match serde_json::from_slice(&body) {
+        Ok(parsed) => parsed,
+        Err(error) => return bad_request(tier, error.to_string()),
+    };
+    let deadline = match deadline(tier, parsed.deadline_ms) {
+        Ok(deadline) => deadline,
+        Err(detail) => return bad_request(tier, detail),
+    };
+    let ask = QueryRequest {
+        organisation: parsed.organisation,
+        service: parsed.service,
+        call: parsed.call,
+        deadline,
+        body: raw(parsed.query),
+    };
+    match tier.query(ask).await {
+        Ok(answer) => web::json(StatusCode::OK, answer_json(&answer)),
+        Err(refused) => refusal(&refused),
+    }
+}
+
+fn ticket(tier: &Tier) -> Reply {
+    match tier.ticket() {
+        Ok(reply) => {
+            let body = json!({
+                "ticket": reply.ticket.to_string(),
+                "expires_ms": reply.expiry.0,
+            });
+            web::json(StatusCode::OK, body.to_string())
+        }
+        Err(refused) => refusal(&refused),
+    }
+}
+
+async fn submit(tier: &Tier, limits: &WebLimits, request: Request<Incoming>) -> Reply {
+    let body = match web::read_body(request.into_body(), limits).await {
+        Ok(body) => body,
+        Err(error) => return bad_body(tier, error),
+    };
+    let parsed: SubmitBody<'_> = match serde_json::from_slice(&body) {
+        Ok(parsed) => parsed,
+        Err(error) => return bad_request(tier, error.to_string()),
+    };
+    let deadline = match deadline(tier, parsed.deadline_ms) {
+        Ok(deadline) => deadline,
+        Err(detail) => return bad_request(tier, detail),
+    };
+    let ticket = match parsed.ticket.map(|text| text.parse::<Ticket>()).transpose() {
+        Ok(ticket) => ticket,
+        Err(error) => return refuse_plain(tier, Reason::BadTicket, error.to_string()),
+    };
+    let ask = SubmitRequest {
+        ticket,
+        organisation: parsed.organisation,
+        service: parsed.service,
+        call: parsed.call,
+        deadline,
+        body: raw(parsed.body),
+    };
+    match tier.submit(ask).await {
+        Ok(outcome) => web::json(StatusCode::OK, outcome_json(&outcome)),
+        Err(refused) => refusal(&refused),
+    }
+}
+
+/// Reads a receipt back. No store is asked: the receipt carries the truth.
+fn explain(tier: &Tier, text: &str) -> Reply {
+    match Receipt::decode(text, &tier.shared.check) {
+        Ok(receipt) => {
+            let sentence = receipt.reason.sentence();
+            let mut body = json!(receipt);
+            body["sentence"] = sentence.into();
+            web::json(StatusCode::OK, body.to_string())
+        }
+        Err(error) => web::error(StatusCode::NOT_FOUND, &error.to_string()),
+    }
+}
+
+fn raw(value: Option<&RawValue>) -> Bytes {
+    value.map_or(EMPTY, |raw| Bytes::copy_from_slice(raw.get().as_bytes()))
+}
+
+fn deadline(tier: &Tier, ms: Option<u64>) -> Result<Option<Duration>, String> {
+    let most = tier.shared.settings.limits.deadline;
+    let Some(ms) = ms else {
+        return Ok(None);
+    };
+    let span = Duration::from_millis(ms);
+    if span.is_zero() || span > most {
+        let most = most.as_millis();
+        return Err(format!("deadline_ms: {ms} is not from 1 to {most}"));
+    }
+    Ok(Some(span))
+}
+
+fn bad_request(tier: &Tier, detail: String) -> Reply {
+    refuse_plain(tier, Reason::BadRequest, detail)
+}
+
+fn bad_body(tier: &Tier, error: BodyError) -> Reply {
+    let mut reply = bad_request(tier, error.text().to_owned());
+    *reply.status_mut() = error.status();
+    reply
+}
+
+/// Refuses a request that could not even be read.
+fn refuse_plain(tier: &Tier, reason: Reason, detail: String) -> Reply {
+    let subject = Subject {
+        request: tier.shared.next_request(),
+        ..Subject::default()
+    };
+    refusal(&refuse(
+        &tier.shared,
+        &subject,
+        Why::not_run(reason, detail),
+    ))
+}
+
+fn answer_json(answer: &Answer) -> String {
+    let head = json!({
+        "request": answer.request,
+        "entry": answer.entry,
+        "snapshot": answer.snapshot,
+        "coverage": {
+            "asked": answer.coverage.asked,
+            "answered": answer.coverage.answered,
+            "missing": answer.coverage.missing,
+            "complete": answer.coverage.is_complete(),
+        },
+        "settings": {
+            "template": answer.settings.template,
+            "organisation": answer.settings.organisation,
+            "confirmed_ms": answer.settings.confirmed.as_millis() as u64,
+        },
+    })
+    .to_string();
+    // The rows came as JSON and go out as they came.
+    let rows = String::from_utf8_lossy(&answer.rows);
+    format!(r#"{},"rows":{rows}}}"#, &head[..head.len() - 1])
+}
+
+fn outcome_json(outcome: &SubmitOutcome) -> String {
+    let answer = if outcome.answer.is_empty() {
+        "null".into()
+    } else {
+        String::from_utf8_lossy(&outcome.answer)
+    };
+    let request = outcome.request;
+    format!(r#"{{"outcome":"done","request":{request},"answer":{answer}}}"#)
+}
+
+fn entry_json(entry: &Entry) -> serde_json::Value {
+    json!({
+        "entry": entry.member,
+        "address": entry.address,
+        "domain": entry.domain,
+    })
+}
+
+/// The reply to a refused request.
+fn refusal(refused: &Refused) -> Reply {
+    let body = json!({
+        "refused": true,
+        "receipt": refused.receipt,
+        "reason": refused.reason,
+        "sentence": refused.reason.sentence(),
+        "detail": refused.detail,
+        "run": refused.run,
+        "retry_after_ms": refused.after.map(|span| span.as_millis() as u64),
+        "entries": refused.entries.iter().map(entry_json).collect::<Vec<_>>(),
+    });
+    let mut reply = web::json(status_of(refused.reason), body.to_string());
+    if let Some(after) = refused.after {
+        // Whole seconds, rounded up; the body has the milliseconds.
+        let seconds = after.as_millis().div_ceil(1000) as u64;
+        reply
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    reply
+}
+
+/// The HTTP status that fits a reason.
+fn status_of(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::UnknownOrg => StatusCode::NOT_FOUND,
+        Reason::ServiceClosed | Reason::CallUnknown => StatusCode::FORBIDDEN,
+        Reason::OrgLimit => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Deadline => StatusCode::GATEWAY_TIMEOUT,
+        Reason::BadTicket => StatusCode::CONFLICT,
+        Reason::FateUnknown | Reason::KeeperGone => StatusCode::BAD_GATEWAY,
+        Reason::Overload
+        | Reason::Incomplete
+        | Reason::NoSnapshot
+        | Reason::TargetRefused
+        | Reason::Unconfirmed
+        | Reason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/tier/src/status.rs
@@ -0,0 +1,170 @@
+//! What an entry tells operators of itself.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chestnut_conf::{Kind, Versions};
+use chestnut_fleet::Liveness;
+use chestnut_route::Backend;
+use serde::Serialize;
+
+use crate::{
+    service::Place,
+    shared::{Phase, Shared, lock},
+};
+
+/// A member, as this entry sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct MemberStatus {
+    /// Its name.
+    pub member: String,
+    /// Its failure domain.
+    pub domain: String,
+    /// Where it listens for operators.
+    pub operators: String,
+    /// `alive`, `suspect` or `gone`.
+    pub liveness: &'static str,
+    /// Whether it says that it is leaving.
+    pub leaving: bool,
+}
+
+/// A leaf or peer, as this entry sees it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct LeafStatus {
+    /// The service.
+    pub service: String,
+    /// The leaf, or the peer that holds leafs for this entry.
+    pub target: String,
+    /// `held here`, or `peer`.
+    pub place: &'static str,
+    /// `open`, `evicted` or `leaving`.
+    pub state: &'static str,
+    /// Milliseconds until an eviction ends.
+    pub evicted_ms: u64,
+    /// Calls that wait for its answer.
+    pub outstanding: u32,
+    /// Expected milliseconds of a call.
+    pub expected_ms: f64,
+    /// Connections open to it.
+    pub connections: usize,
+}
+
+/// An entry, as it sees itself.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Status {
+    /// Its name.
+    pub member: String,
+    /// `starting`, `serving`, `leaving` or `stopped`.
+    pub phase: &'static str,
+    /// How long ago its settings were confirmed; absent if never.
+    pub confirmed_ms: Option<u64>,
+    /// Templates and their versions in force.
+    pub templates: Versions,
+    /// Organisations and their versions in force.
+    pub organisations: Versions,
+    /// Members that it knows.
+    pub members: Vec<MemberStatus>,
+    /// Requests that it runs.
+    pub in_flight: u32,
+    /// Refusal records waiting for the platform.
+    pub records_waiting: usize,
+    /// Refusal records dropped.
+    pub records_dropped: u64,
+    /// Tickets that it keeps.
+    pub tickets: usize,
+    /// Bytes of membership traffic since its start.
+    pub probe_bytes: u64,
+}
+
+/// The entry's own status.
+pub(crate) fn status(shared: &Shared) -> Status {
+    let now = shared.now();
+    let (confirmed, templates, organisations) = {
+        let conf = lock(&shared.conf);
+        (
+            conf.confirm.age(now),
+            conf.book.versions(Kind::Template),
+            conf.book.versions(Kind::Organisation),
+        )
+    };
+    let members = members(shared);
+    let (records_waiting, records_dropped) = {
+        let journal = lock(&shared.journal);
+        (journal.waiting(), journal.dropped())
+    };
+    Status {
+        member: shared.own.id.to_string(),
+        phase: phase_word(shared.phase()),
+        confirmed_ms: confirmed.map(|age: Duration| age.as_millis() as u64),
+        templates,
+        organisations,
+        members,
+        in_flight: shared.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+        records_waiting,
+        records_dropped,
+        tickets: lock(&shared.keeper).len(),
+        probe_bytes: shared.probes.bytes(),
+    }
+}
+
+fn phase_word(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Starting => "starting",
+        Phase::Serving => "serving",
+        Phase::Leaving => "leaving",
+        Phase::Stopped => "stopped",
+    }
+}
+
+fn members(shared: &Shared) -> Vec<MemberStatus> {
+    let swim = lock(&shared.swim);
+    let one = |member: &chestnut_fleet::Member| MemberStatus {
+        member: member.id.to_string(),
+        domain: member.domain.to_string(),
+        operators: member.addresses.operators.to_string(),
+        liveness: match member.liveness {
+            Liveness::Alive => "alive",
+            Liveness::Suspect => "suspect",
+            Liveness::Gone => "gone",
+        },
+        leaving: member.leaving,
+    };
+    swim.view.all().map(one).collect()
+}
+
+/// Every back end of every service.
+pub(crate) fn targets(shared: &Shared) -> Vec<LeafStatus> {
+    let open: BTreeMap<_, _> = shared.targets.connections().into_iter().collect();
+    let now = shared.now();
+    let mut list = Vec::new();
+    for service in shared.services() {
+        let state = lock(&service.state);
+        for (ix, place) in &state.places {
+            let evicted = state.table.evicted_until(*ix, now);
+            let (target, place_word, connections) = match (state.table.backend(*ix), place) {
+                (Backend::Leaf(id), _) => (
+                    id.to_string(),
+                    "held here",
+                    open.get(id).copied().unwrap_or(0),
+                ),
+                (Backend::Peer(id), Place::Peer(..) | Place::Leaf(..)) => {
+                    (id.to_string(), "peer", 0)
+                }
+            };
+            list.push(LeafStatus {
+                service: service.name.to_string(),
+                target,
+                place: place_word,
+                state: match evicted {
+                    _ if state.table.is_leaving(*ix) => "leaving",
+                    Some(_) => "evicted",
+                    None => "open",
+                },
+                evicted_ms: evicted.map_or(0, |until| until.since(now).as_millis() as u64),
+                outstanding: state.table.outstanding(*ix),
+                expected_ms: state.table.expected(*ix, now) / 1e6,
+                connections,
+            });
+        }
+    }
+    list
+}
--- /dev/null
+++ b/crates/unit/src/lib.rs
@@ -0,0 +1,34 @@
+//! Ids, times, sizes, rates, snapshots and coverage.
+//!
+//! These are the words that every other crate of chestnutpost shares. The
+//! crate does no I/O, reads no clock and depends on no runtime.
+//!
+//! ```
+//! use chestnut_unit::{Coverage, ShardName};
+//!
+//! let asked = [ShardName::new("s0").unwrap(), ShardName::new("s1").unwrap()];
+//! let coverage = Coverage::from_merged(&asked, &[true, false]);
+//! assert_eq!(coverage.answered, 1);
+//! assert!(!coverage.is_complete());
+//! ```
+
+mod coverage;
+mod id;
+mod reason;
+mod share;
+mod size;
+mod snapshot;
+mod time;
+mod urgency;
+
+pub use coverage::Coverage;
+pub use id::{
+    CallType, DomainName, Incarnation, LeafId, MemberId, NameError, OrgName, RequestId,
+    ServiceName, ShardName, TemplateName,
+};
+pub use reason::{Reason, Run};
+pub use share::{Share, ShareError};
+pub use size::{ByteSize, Rate, UnitError, parse_span};
+pub use snapshot::{IndexVersion, Layout, LayoutShard, Snapshot};
+pub use time::{Time, Wall};
+pub use urgency::Urgency;
--- /dev/null
+++ b/crates/unit/src/share.rs
@@ -0,0 +1,75 @@
+//! A share of a whole.
+
+use std::{fmt, str::FromStr};
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// A share from 0% to 100%, kept in tenths of a percent, written `97.5%`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Share(u16);
+
+/// A text that is not a share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ShareError(String);
+
+impl fmt::Display for ShareError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} is not a share such as 97.5%", self.0)
+    }
+}
+
+impl std::error::Error for ShareError {}
+
+impl Share {
+    /// The whole.
+    pub const WHOLE: Share = Share(1000);
+
+    /// A share of `permille` thousandths; more than the whole is the whole.
+    #[must_use]
+    pub const fn from_permille(permille: u16) -> Self {
+        if permille > 1000 {
+            return Self::WHOLE;
+        }
+        Self(permille)
+    }
+
+    /// The share as a number from 0 to 1.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / 1000.0
+    }
+}
+
+impl FromStr for Share {
+    type Err = ShareError;
+
+    fn from_str(text: &str) -> Result<Self, ShareError> {
+        let fail = || ShareError(text.to_owned());
+        let number = text.strip_suffix('%').ok_or_else(fail)?;
+        let percent: f64 = number.parse().map_err(|_| fail())?;
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(fail());
+        }
+        Ok(Self((percent * 10.0).round() as u16))
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / 10.0)
+    }
+}
+
+impl Serialize for Share {
+    fn serialize<S: Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        s.collect_str(self)
+    }
+}
+
+impl<'de> Deserialize<'de> for Share {
+    fn deserialize<D: Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        String::deserialize(d)?
+            .parse()
+            .map_err(serde::de::Error::custom)
+    }
+}
