--- /dev/null
+++ b/crates/cli/src/client.rs
@@ -0,0 +1,104 @@
+//! Calls to the operators' side of an entry.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use bytes::Bytes;
+use chestnut_port::HttpClient;
+use displaydoc::Display;
+use hyper::{Method, StatusCode};
+use serde_json::Value;
+
+/// Longest wait for an answer: an edit during an outage takes some seconds.
+const WAIT: Duration = Duration::from_secs(15);
+
+/// Why a command failed.
+#[derive(Debug, Display)]
+pub(crate) enum CliError {
+    /// {0}
+    Refused(String),
+    /// {0}
+    Conflict(String),
+    /// can't reach the entry at {0}; give another with --entry
+    Unreachable(SocketAddr),
+    /// {0}
+    Outage(String),
+    /// {text}; run the same command again with --edit {edit}
+    Unsettled {
+        /// What the entry said.
+        text: String,
+        /// The id to repeat.
+        edit: String,
+    },
+    /// can't read {0}: {1}
+    File(PathBuf, String),
+}
+
+impl CliError {
+    /// The exit status.
+    pub(crate) fn status(&self) -> u8 {
+        match self {
+            Self::Refused(_) => 1,
+            Self::File(..) => 2,
+            Self::Conflict(_) => 3,
+            Self::Unreachable(_) | Self::Outage(_) => 4,
+            Self::Unsettled { .. } => 5,
+        }
+    }
+}
+
+/// A client of one entry.
+pub(crate) struct Client {
+    http: HttpClient,
+    address: SocketAddr,
+}
+
+impl Client {
+    pub(crate) fn new(address: SocketAddr) -> Self {
+        Self {
+            http: HttpClient::default(),
+            address,
+        }
+    }
+
+    /// A client of another entry.
+    pub(crate) fn at(&self, address: SocketAddr) -> Self {
+        Self {
+            http: self.http.clone(),
+            address,
+        }
+    }
+
+    pub(crate) async fn get(&self, path: &str) -> Result<Value, CliError> {
+        self.call(Method::GET, path, Bytes::new()).await
+    }
+
+    pub(crate) async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<Value, CliError> {
+        let reply = self
+            .http
+            .call(method, self.address, path, body, WAIT)
+            .await
+            .map_err(|_| CliError::Unreachable(self.address))?;
+        let value = reply.json();
+        if reply.status.is_success() {
+            return Ok(value);
+        }
+        let text = value["error"]
+            .as_str()
+            .unwrap_or("no reason given")
+            .to_owned();
+        Err(match reply.status {
+            StatusCode::CONFLICT => CliError::Conflict(text),
+            StatusCode::SERVICE_UNAVAILABLE => CliError::Outage(text),
+            StatusCode::GATEWAY_TIMEOUT => CliError::Unsettled {
+                text,
+                edit: value["edit"].as_str().unwrap_or_default().to_owned(),
+            },
+            _ => CliError::Refused(text),
+        })
+    }
+}
--- /dev/null
+++ b/crates/cli/src/objects.rs
@@ -0,0 +1,120 @@
+//! Templates and organisations.
+
+use std::path::Path;
+
+use bytes::Bytes;
+use chestnut_conf::Kind;
+use hyper::Method;
+use serde_json::{Value, json};
+
+use crate::{
+    Action,
+    client::{CliError, Client},
+    show::{pretty, table, text},
+};
+
+/// Runs an action on objects of one kind.
+pub(crate) async fn run(
+    client: &Client,
+    kind: Kind,
+    action: Action,
+    as_json: bool,
+) -> Result<(), CliError> {
+    match action {
+        Action::List => list(client, kind, as_json).await,
+        Action::Get { name } => get(client, kind, &name, as_json).await,
+        Action::Check { name, file } => {
+            let body = json!({ "spec": read(&file)? });
+            let path = format!("/check/{kind}/{name}");
+            let reply = call(client, Method::POST, &path, body).await?;
+            say(&reply, as_json, || format!("{}: good", file.display()));
+            Ok(())
+        }
+        Action::Put {
+            name,
+            file,
+            expected,
+            edit,
+            by,
+        } => {
+            let body = json!({
+                "spec": read(&file)?, "expected": expected, "edit": edit, "by": by,
+            });
+            let path = format!("/objects/{kind}/{name}");
+            let reply = call(client, Method::PUT, &path, body).await?;
+            say(&reply, as_json, || {
+                format!("{kind} {name}: version {} is accepted", reply["version"])
+            });
+            Ok(())
+        }
+        Action::History { name } => history(client, kind, &name, as_json).await,
+    }
+}
+
+async fn call(client: &Client, method: Method, path: &str, body: Value) -> Result<Value, CliError> {
+    client
+        .call(method, path, Bytes::from(body.to_string()))
+        .await
+}
+
+fn say(reply: &Value, as_json: bool, human: impl Fn() -> String) {
+    if as_json {
+        println!("{reply}");
+    } else {
+        println!("{}", human());
+    }
+}
+
+fn read(file: &Path) -> Result<Value, CliError> {
+    let fail = |e: &dyn std::fmt::Display| CliError::File(file.to_owned(), e.to_string());
+    let content = std::fs::read_to_string(file).map_err(|e| fail(&e))?;
+    serde_json::from_str(&content).map_err(|e| fail(&e))
+}
+
+async fn list(client: &Client, kind: Kind, as_json: bool) -> Result<(), CliError> {
+    let reply = client.get(&format!("/objects/{kind}")).await?;
+    if as_json {
+        println!("{reply}");
+        return Ok(());
+    }
+    let mut rows = vec![vec!["NAME".to_owned(), "VERSION".to_owned()]];
+    for (name, version) in reply.as_object().into_iter().flatten() {
+        rows.push(vec![name.clone(), version.to_string()]);
+    }
+    table(&rows);
+    Ok(())
+}
+
+async fn get(client: &Client, kind: Kind, name: &str, as_json: bool) -> Result<(), CliError> {
+    let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
+    if as_json {
+        println!("{reply}");
+    } else {
+        eprintln!("version {}", reply["version"]);
+        println!("{}", pretty(&reply["spec"]));
+    }
+    Ok(())
+}
+
+async fn history(client: &Client, kind: Kind, name: &str, as_json: bool) -> Result<(), CliError> {
+    let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
+    if as_json {
+        println!("{}", reply["edits"]);
+        return Ok(());
+    }
+    let mut rows = vec![
+        ["VERSION", "AT (MS SINCE 1970)", "BY", "EDIT"]
+            .map(str::to_owned)
+            .to_vec(),
+    ];
+    for edit in reply["edits"].as_array().into_iter().flatten() {
+        rows.push(vec![
+            edit["version"].to_string(),
+            edit["at"].to_string(),
+            text(&edit["by"]),
+            text(&edit["id"]),
+        ]);
+    }
+    table(&rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/tests/blackbox/main.rs
@@ -0,0 +1,9 @@
+//! Black-box tests: separate processes on loopback, driven by their
+//! interfaces alone.
+
+mod bench;
+mod edits;
+mod junk;
+mod queries;
+mod stops;
+mod submissions;
--- a/crates/fake/src/demo.rs
+++ b/crates/fake/src/demo.rs
@@ -159,7 +159,6 @@
 }
 
 /// A logger that drops everything.
-#[must_use]
 pub fn no_log() -> Logger {
     Logger::root(slog::Discard, slog::o!())
 }
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -165,8 +165,12 @@
     let (org, spec) = spec_of(chestnut_conf::Kind::Organisation, "")?;
     let template = spec["template"].as_str()?;
     let (_, template) = spec_of(chestnut_conf::Kind::Template, template)?;
+    let reach = spec["services"].as_array()?;
     let calls = template["calls"].as_object()?;
-    let (call, body) = calls.iter().find(|(_, call)| call["kind"] == "query")?;
+    let open = |body: &serde_json::Value| reach.contains(&body["services"][0]);
+    let (call, body) = calls
+        .iter()
+        .find(|(_, body)| body["kind"] == "query" && open(body))?;
     let service = body["services"][0].as_str()?;
     Some((org, service.to_owned(), call.clone()))
 }
--- a/crates/fake/src/world.rs
+++ b/crates/fake/src/world.rs
@@ -1,6 +1,11 @@
 //! A deployment, as the stand-ins and tests need it.
 
-use std::{collections::BTreeMap, net::SocketAddr, path::Path, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
 
 use chestnut_conf::{Kind, Leaf, ObjectKey, Service};
 use chestnut_port::{Vm, VmRole};
@@ -71,6 +76,9 @@
 pub struct World {
     /// Its failure domains.
     pub domains: Vec<DomainName>,
+    /// Address at which the leafs listen.
+    #[serde(default = "loopback")]
+    pub host: IpAddr,
     /// Where the platform listens.
     pub platform: SocketAddr,
     /// Its services.
@@ -79,6 +87,10 @@
     pub entry: Vec<EntrySpec>,
 }
 
+fn loopback() -> IpAddr {
+    IpAddr::V4(Ipv4Addr::LOCALHOST)
+}
+
 /// A leaf of a world, with the shards that it holds.
 #[derive(Clone, Debug)]
 pub struct LeafSpec {
@@ -137,7 +149,7 @@
                 let holds = |s: &&LayoutShard| s.leafs.contains(&id);
                 LeafSpec {
                     service: spec.name.clone(),
-                    address: SocketAddr::from(([127, 0, 0, 1], spec.port + n as u16)),
+                    address: SocketAddr::new(self.host, spec.port + n as u16),
                     domain: self.domains[n as usize % self.domains.len()].clone(),
                     slots: spec.slots,
                     connections: spec.connections,
--- /dev/null
+++ b/crates/fake/tests/examples.rs
@@ -0,0 +1,53 @@
+//! The shipped examples hold together.
+
+use std::path::{Path, PathBuf};
+
+use chestnut_conf::{Book, Kind, Object, Organisation, Template};
+use chestnut_fake::{World, demo::objects_in};
+use chestnut_unit::OrgName;
+use rstest::rstest;
+
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../examples")
+        .join(name)
+}
+
+#[rstest]
+#[case("flipperhouse")]
+#[case("pollen")]
+fn templates_and_organisations_pass_their_checks(#[case] name: &str) {
+    let mut book = Book::default();
+    for (key, value) in objects_in(&folder(name)).unwrap() {
+        book.apply(Object {
+            key,
+            version: 1,
+            value,
+        });
+    }
+    let mut checked = 0;
+    for template in book.versions(Kind::Template).keys() {
+        let (_, template): (u64, Template) = book.parse_spec(Kind::Template, template).unwrap();
+        template.check().unwrap();
+        checked += 1;
+    }
+    for org in book.versions(Kind::Organisation).keys() {
+        let (_, parsed): (u64, Organisation) = book.parse_spec(Kind::Organisation, org).unwrap();
+        let (_, template) = book.template(&parsed.template).unwrap();
+        parsed.check(&template).unwrap();
+        assert!(book.policy(&OrgName::new(org).unwrap()).is_some());
+        checked += 1;
+    }
+    assert!(checked >= 4);
+}
+
+#[rstest]
+#[case("flipperhouse", 94)]
+#[case("pollen", 105)]
+fn worlds_have_the_sizes_of_the_brief(#[case] name: &str, #[case] leafs: usize) {
+    let world = World::open(&folder(name).join("world.toml")).unwrap();
+    assert_eq!(world.domains.len(), 3);
+    assert_eq!(world.entry.len(), 7);
+    assert_eq!(world.leafs().len(), leafs);
+    assert!(world.leafs().iter().all(|leaf| !leaf.shards.is_empty()));
+}
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,6 @@
 //! One member and the order of its states.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use chestnut_unit::{DomainName, Incarnation, MemberId};
 
@@ -43,10 +43,24 @@
     pub liveness: Liveness,
     /// Whether it has said that it is leaving.
     pub leaving: bool,
-    /// Who took over its tickets when it left.
-    pub successor: Option<MemberId>,
+    /// Who took over the tickets of its present and earlier lives.
+    pub heirs: BTreeMap<Incarnation, Heir>,
 }
 
+/// One life of a member that took over the tickets of another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Heir {
+    /// The member.
+    pub member: MemberId,
+    /// The life of its process.
+    pub life: Incarnation,
+}
+
+/// Lives whose heirs a statement carries. A rolling restart gives every name a
+/// new life while the tickets of the old one are still good; three lives cover
+/// restarts that follow each other within the life of a ticket.
+const HEIRS_KEPT: usize = 3;
+
 impl Member {
     /// A member that has just started.
     #[must_use]
@@ -64,7 +78,7 @@
             beat: 0,
             liveness: Liveness::Alive,
             leaving: false,
-            successor: None,
+            heirs: BTreeMap::new(),
         }
     }
 
@@ -78,27 +92,36 @@
     /// changed anything.
     ///
     /// A later life overrides an earlier one. Within a life the higher beat
-    /// wins and, at the same beat, the worse liveness; leaving and a successor
-    /// are never unsaid, since only the member itself says them. So every
-    /// member that has heard the same statements, in any order and any number
-    /// of times, holds the same state.
+    /// wins and, at the same beat, the worse liveness; leaving and heirs are
+    /// never unsaid, since only the member itself says them. So every member
+    /// that has heard the same statements, in any order and any number of
+    /// times, holds the same state.
     pub fn merge(&mut self, other: &Member) -> bool {
-        if other.incarnation != self.incarnation {
-            let newer = other.incarnation > self.incarnation;
-            if newer {
-                *self = other.clone();
-            }
-            return newer;
-        }
         let before = self.clone();
-        if (other.beat, other.liveness) > (self.beat, self.liveness) {
-            self.beat = other.beat;
-            self.liveness = other.liveness;
+        if other.incarnation > self.incarnation {
+            let heirs = std::mem::take(&mut self.heirs);
+            *self = other.clone();
+            self.inherit(&heirs);
+            return true;
         }
-        self.leaving |= other.leaving;
-        if other.successor > self.successor {
-            self.successor = other.successor.clone();
+        self.inherit(&other.heirs);
+        if other.incarnation == self.incarnation {
+            if (other.beat, other.liveness) > (self.beat, self.liveness) {
+                self.beat = other.beat;
+                self.liveness = other.liveness;
+            }
+            self.leaving |= other.leaving;
         }
         *self != before
     }
+
+    /// Adds heirs of this and earlier lives.
+    pub fn inherit(&mut self, heirs: &BTreeMap<Incarnation, Heir>) {
+        for (life, heir) in heirs {
+            self.heirs.entry(*life).or_insert_with(|| heir.clone());
+        }
+        while self.heirs.len() > HEIRS_KEPT {
+            self.heirs.pop_first();
+        }
+    }
 }
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -6,7 +6,7 @@
 use chestnut_unit::{MemberId, Time};
 use rand::Rng;
 
-use crate::{Change, Liveness, Member, News, View};
+use crate::{Change, Heir, Liveness, Member, News, View};
 
 /// Parameters of the detector.
 #[derive(Clone, Copy, Debug)]
@@ -176,11 +176,11 @@
     }
 
     /// Says that this entry is leaving, and to whom it gave its tickets.
-    pub fn leave(&mut self, successor: Option<MemberId>) {
+    pub fn leave(&mut self, heir: Option<Heir>) {
         self.view.change_own(|own| {
             own.leaving = true;
-            if successor.is_some() {
-                own.successor = successor;
+            if let Some(heir) = heir {
+                own.heirs.insert(own.incarnation, heir);
             }
         });
         self.news.add(self.view.own().clone());
@@ -428,6 +428,7 @@
     /// Takes a statement, from a message or from our own detector.
     fn hear(&mut self, said: &Member, now: Time) {
         if said.id == self.view.own().id {
+            self.learn_heirs(said);
             self.refute(said);
             return;
         }
@@ -453,6 +454,15 @@
         self.news.add(member);
     }
 
+    /// Takes over the heirs of this name's earlier lives, and passes them on.
+    fn learn_heirs(&mut self, said: &Member) {
+        let before = self.view.own().heirs.clone();
+        self.view.change_own(|own| own.inherit(&said.heirs));
+        if self.view.own().heirs != before {
+            self.news.add(self.view.own().clone());
+        }
+    }
+
     /// Answers a statement that calls this entry suspect or gone by a higher
     /// beat. A statement about an earlier life of the same name is answered
     /// too, as the present life overrides it.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use chestnut_unit::{DomainName, MemberId, Time};
+use chestnut_unit::{DomainName, Incarnation, MemberId, Time};
 
 use crate::{Liveness, Member};
 
@@ -168,16 +168,21 @@
             .filter(move |member| member.domain == *domain)
     }
 
-    /// Who keeps the tickets that `keeper` minted: itself while it is present,
-    /// or whoever took them over when it left.
+    /// Who keeps the tickets that `keeper` minted in its life `life`: itself
+    /// in that life, or whoever took them over. A life that this view has not
+    /// heard of yet is taken to be the present one: only the member itself
+    /// knows, and it decides when it is asked.
     #[must_use]
-    pub fn keeper_of(&self, keeper: &MemberId) -> Option<&Member> {
-        let mut at = self.get(keeper)?;
+    pub fn keeper_of(&self, keeper: &MemberId, life: Incarnation) -> Option<&Member> {
+        let (mut id, mut life) = (keeper, life);
         for _ in 0..self.known.len() {
-            match &at.successor {
-                None => return (at.liveness != Liveness::Gone).then_some(at),
-                Some(next) => at = self.get(next)?,
+            let member = self.get(id)?;
+            if let Some(heir) = member.heirs.get(&life) {
+                (id, life) = (&heir.member, heir.life);
+                continue;
             }
+            let here = member.incarnation <= life && member.liveness != Liveness::Gone;
+            return here.then_some(member);
         }
         None
     }
--- a/crates/port/schema/peer.capnp
+++ b/crates/port/schema/peer.capnp
@@ -12,7 +12,14 @@
   beat @6 :UInt32;
   liveness @7 :Liveness;
   leaving @8 :Bool;
-  successor @9 :Text;
+  heirs @9 :List(Heir);
+}
+
+# Who took over the tickets of one life of a member.
+struct Heir {
+  of @0 :UInt64;
+  member @1 :Text;
+  life @2 :UInt64;
 }
 
 enum Liveness {
@@ -139,8 +146,8 @@
   objects @3 (have :List(ObjectVersion)) -> (objects :List(Object));
   # Objects that have just been accepted.
   push @4 (objects :List(Object)) -> ();
-  # Tickets of a caller that leaves.
-  adopt @5 (tickets :List(Handed)) -> ();
+  # Tickets of a caller that leaves; the callee's life takes them over.
+  adopt @5 (tickets :List(Handed)) -> (life :UInt64);
   dispatch @6 (ask :Dispatch) -> (answer :Dispatched);
   # Leafs that the platform's list says are leaving.
   leaving @7 (leafs :List(Text)) -> ();
--- a/crates/port/src/peer.rs
+++ b/crates/port/src/peer.rs
@@ -7,7 +7,9 @@
 use chestnut_fleet::Member;
 use chestnut_once::{Handed, Ticket};
 use chestnut_route::Failure;
-use chestnut_unit::{CallType, IndexVersion, LeafId, OrgName, Reason, RequestId, ServiceName};
+use chestnut_unit::{
+    CallType, Incarnation, IndexVersion, LeafId, OrgName, Reason, RequestId, ServiceName,
+};
 use displaydoc::Display;
 use futures::future::BoxFuture;
 
@@ -133,8 +135,12 @@
     /// Passes on which leafs the platform's list calls leaving.
     fn leaving(&self, to: SocketAddr, leafs: Vec<LeafId>) -> BoxFuture<'_, Result<(), PeerError>>;
 
-    /// Hands tickets to a successor.
-    fn adopt(&self, to: SocketAddr, tickets: Vec<Handed>) -> BoxFuture<'_, Result<(), PeerError>>;
+    /// Hands tickets to an heir, and returns the life that took them over.
+    fn adopt(
+        &self,
+        to: SocketAddr,
+        tickets: Vec<Handed>,
+    ) -> BoxFuture<'_, Result<Incarnation, PeerError>>;
 }
 
 /// What the tier does for its peers.
@@ -160,6 +166,7 @@
     /// Takes objects that have just been accepted elsewhere.
     fn push(&self, objects: Vec<Object>);
 
-    /// Takes over the tickets of a peer that leaves.
-    fn adopt(&self, tickets: Vec<Handed>);
+    /// Takes over the tickets of a peer that leaves, and returns this entry's
+    /// life.
+    fn adopt(&self, tickets: Vec<Handed>) -> Incarnation;
 }
--- a/crates/port/src/peer_capnp.rs
+++ b/crates/port/src/peer_capnp.rs
@@ -123,11 +123,11 @@
             self.reader.get_bool_field(112)
         }
         #[inline]
-        pub fn get_successor(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_heirs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::heir::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_successor(&self) -> bool {
+        pub fn has_heirs(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
     }
@@ -297,19 +297,19 @@
             self.builder.set_bool_field(112, value);
         }
         #[inline]
-        pub fn get_successor(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_heirs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::heir::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_successor(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false).unwrap()
+        pub fn set_heirs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::heir::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_successor(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(5).init_text(size)
+        pub fn init_heirs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::heir::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
-        pub fn has_successor(&self) -> bool {
+        pub fn has_heirs(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
     }
@@ -323,7 +323,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 171] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(101, 211, 247, 45, 8, 245, 162, 235),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
@@ -407,10 +407,10 @@
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -486,13 +486,16 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 111),
-            ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 105, 114, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 172, 248, 23, 71, 200, 4, 230),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -507,7 +510,7 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <crate::peer_capnp::Liveness as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::peer_capnp::heir::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -523,11 +526,273 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,1,0,5,8,7,3,4,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,1,9,0,5,8,7,3,4];
         pub(crate) const TYPE_ID: u64 = 0xeba2_f508_2df7_d365;
     }
 }
 
+pub mod heir {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_of(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_life(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_of(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_of(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_member(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_life(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_life(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 61] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(176, 172, 248, 23, 71, 200, 4, 230),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 72, 101, 105, 114, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(111, 102, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+        pub(crate) const TYPE_ID: u64 = 0xe604_c847_17f8_acb0;
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Liveness {
@@ -6985,11 +7250,15 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.reader.total_size()
             }
+            #[inline]
+            pub fn get_life(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7039,6 +7308,14 @@
             pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
                 self.builder.as_reader().total_size()
             }
+            #[inline]
+            pub fn get_life(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_life(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7050,26 +7327,45 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(87, 168, 163, 55, 134, 93, 229, 163),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(97, 100, 111, 112, 116, 36, 82, 101),
                 ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 105, 102, 101, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
-                ::capnp::introspect::panic_invalid_field_index(index)
+                match index {
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
             }
             pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
                 ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
@@ -7081,9 +7377,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
             pub(crate) const TYPE_ID: u64 = 0xa3e5_5d86_37a3_a857;
         }
     }
--- a/crates/port/src/peer_rpc.rs
+++ b/crates/port/src/peer_rpc.rs
@@ -21,7 +21,7 @@
 use chestnut_fleet::Member;
 use chestnut_once::Handed;
 use chestnut_route::Failure;
-use chestnut_unit::LeafId;
+use chestnut_unit::{Incarnation, LeafId};
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -196,13 +196,17 @@
         .boxed()
     }
 
-    fn adopt(&self, to: SocketAddr, tickets: Vec<Handed>) -> BoxFuture<'_, Result<(), PeerError>> {
+    fn adopt(
+        &self,
+        to: SocketAddr,
+        tickets: Vec<Handed>,
+    ) -> BoxFuture<'_, Result<Incarnation, PeerError>> {
         self.run(to, CONTROL_WAIT, move |client| async move {
             let mut request = client.adopt_request();
             let list = request.get().init_tickets(tickets.len() as u32);
             wire::put_handed(&tickets, list);
-            request.send().promise.await?;
-            Ok(())
+            let answer = request.send().promise.await?;
+            Ok(Incarnation(answer.get()?.get_life()))
         })
         .boxed()
     }
--- a/crates/port/src/peer_serve.rs
+++ b/crates/port/src/peer_serve.rs
@@ -100,10 +100,11 @@
     async fn adopt(
         self: Rc<Self>,
         params: peer::AdoptParams,
-        _: peer::AdoptResults,
+        mut results: peer::AdoptResults,
     ) -> Result<(), Error> {
         let tickets = wire::get_handed(params.get()?.get_tickets()?)?;
-        self.service.adopt(tickets);
+        let life = self.service.adopt(tickets);
+        results.get().set_life(life.0);
         Ok(())
     }
 }
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -5,11 +5,11 @@
 use bytes::Bytes;
 use capnp::{message::ReaderOptions, struct_list, text};
 use chestnut_conf::{BookDigest, Kind, Object, ObjectKey};
-use chestnut_fleet::{Addresses, Liveness, Member, Probe, ProbeKind};
+use chestnut_fleet::{Addresses, Heir, Liveness, Member, Probe, ProbeKind};
 use chestnut_once::{Handed, Outcome, Ticket};
 use chestnut_route::{Failure, Refusal};
 use chestnut_unit::{
-    CallType, DomainName, Incarnation, IndexVersion, LeafId, MemberId, OrgName, Reason, RequestId,
+    CallType, DomainName, Incarnation, IndexVersion, LeafId, OrgName, Reason, RequestId,
     ServiceName,
 };
 
@@ -67,7 +67,13 @@
         Liveness::Gone => schema::Liveness::Gone,
     });
     to.set_leaving(member.leaving);
-    to.set_successor(member.successor.as_ref().map_or("", MemberId::as_str));
+    let mut heirs = to.init_heirs(member.heirs.len() as u32);
+    for (at, (of, heir)) in (0u32..).zip(&member.heirs) {
+        let mut item = heirs.reborrow().get(at);
+        item.set_of(of.0);
+        item.set_member(heir.member.as_str());
+        item.set_life(heir.life.0);
+    }
 }
 
 pub(crate) fn get_member(from: schema::member::Reader<'_>) -> Read<Member> {
@@ -88,13 +94,22 @@
             schema::Liveness::Gone => Liveness::Gone,
         },
         leaving: from.get_leaving(),
-        successor: match from.get_successor()?.to_str()? {
-            "" => None,
-            name => Some(name.parse().map_err(bad)?),
-        },
+        heirs: from
+            .get_heirs()?
+            .iter()
+            .map(get_heir)
+            .collect::<Read<_>>()?,
     })
 }
 
+fn get_heir(from: schema::heir::Reader<'_>) -> Read<(Incarnation, Heir)> {
+    let heir = Heir {
+        member: parse(from.get_member()?)?,
+        life: Incarnation(from.get_life()),
+    };
+    Ok((Incarnation(from.get_of()), heir))
+}
+
 pub(crate) fn put_members(
     members: &[Member],
     mut to: struct_list::Builder<'_, schema::member::Owned>,
--- a/crates/tier/src/admin.rs
+++ b/crates/tier/src/admin.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     api::EditError,
+    edge,
     edit::{self, EditRequest},
     shared::lock,
     status,
@@ -39,6 +40,7 @@
         (Method::GET, ["healthz"]) => web::json(StatusCode::OK, r#"{"alive":true}"#),
         (Method::GET, ["readyz"]) => ready(&tier),
         (Method::GET, ["status"]) => web::json(StatusCode::OK, json!(tier.status()).to_string()),
+        (Method::GET, ["entries"]) => edge::entries(&tier, request.uri().query()),
         (Method::GET, ["targets"]) => web::json(
             StatusCode::OK,
             json!(status::targets(&tier.shared)).to_string(),
--- a/crates/tier/src/edge.rs
+++ b/crates/tier/src/edge.rs
@@ -75,7 +75,8 @@
 
 const REFUSALS: &str = "/v1/refusals/";
 
-fn entries(tier: &Tier, query: Option<&str>) -> Reply {
+/// The entries that callers should use.
+pub(crate) fn entries(tier: &Tier, query: Option<&str>) -> Reply {
     let domain = web::param(query, "domain").and_then(|name| DomainName::new(name).ok());
     let list = tier.entries(domain.as_ref());
     let body = json!({
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -8,7 +8,7 @@
 use chestnut_once::Handed;
 use chestnut_port::{Dispatch, PeerService, SubAnswer, SubQuery, Submission, SubmitReply};
 use chestnut_route::Failure;
-use chestnut_unit::LeafId;
+use chestnut_unit::{Incarnation, LeafId};
 use futures::{FutureExt, future::BoxFuture};
 use slog::info;
 
@@ -53,8 +53,9 @@
         spread::take(&self.0, objects, "a peer");
     }
 
-    fn adopt(&self, tickets: Vec<Handed>) {
+    fn adopt(&self, tickets: Vec<Handed>) -> Incarnation {
         info!(self.0.log, "keep: took over {} tickets", tickets.len());
         lock(&self.0.keeper).adopt(tickets);
+        self.0.own.incarnation
     }
 }
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -94,10 +94,10 @@
 async fn through_keeper(shared: &Arc<Shared>, ask: Submission) -> SubmitReply {
     let keeper = {
         let swim = lock(&shared.swim);
-        let minted_by = swim.view.get(&ask.ticket.keeper);
-        let same_life = minted_by.is_some_and(|m| m.incarnation == ask.ticket.incarnation);
-        let keeper = swim.view.keeper_of(&ask.ticket.keeper).cloned();
-        keeper.filter(|_| same_life)
+        let ticket = &ask.ticket;
+        swim.view
+            .keeper_of(&ticket.keeper, ticket.incarnation)
+            .cloned()
     };
     let Some(keeper) = keeper else {
         return SubmitReply::Unknown(Reason::KeeperGone);
@@ -165,12 +165,13 @@
 
 /// Passes on a ticket that this entry has handed over.
 async fn moved(shared: &Shared, ask: Submission) -> SubmitReply {
-    let successor = {
+    let heir = {
         let swim = lock(&shared.swim);
-        let next = swim.view.own().successor.clone();
-        next.and_then(|id| swim.view.get(&id).cloned())
+        let own = swim.view.own();
+        let heir = own.heirs.get(&own.incarnation);
+        heir.and_then(|heir| swim.view.get(&heir.member).cloned())
     };
-    match successor {
+    match heir {
         Some(member) => pass_on(shared, member.addresses.peers, ask).await,
         // Closed and not yet handed over: it has not run, and the caller may
         // use the ticket again in a moment; nothing is sealed.
--- a/crates/tier/src/web.rs
+++ b/crates/tier/src/web.rs
@@ -69,17 +69,43 @@
     }
 }
 
+/// Most bytes of a body over the limit that are read and thrown away. A caller
+/// that is still writing when the connection closes sees a reset instead of
+/// the reply that tells it what is wrong.
+const DISCARD_MAX: usize = 16 << 20;
+
 /// Reads a whole body within the limits.
-pub(crate) async fn read_body(body: Incoming, limits: &WebLimits) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > limits.body as u64 {
+pub(crate) async fn read_body(mut body: Incoming, limits: &WebLimits) -> Result<Bytes, BodyError> {
+    let read = timeout(limits.patience, collect(&mut body, limits.body)).await;
+    match read {
+        Err(_) => Err(BodyError::Slow),
+        Ok(Err(BodyError::Large)) => {
+            let _ = timeout(limits.patience, discard(&mut body)).await;
+            Err(BodyError::Large)
+        }
+        Ok(result) => result,
+    }
+}
+
+async fn collect(body: &mut Incoming, most: usize) -> Result<Bytes, BodyError> {
+    if body.size_hint().lower() > most as u64 {
         return Err(BodyError::Large);
     }
-    let collected = timeout(limits.patience, Limited::new(body, limits.body).collect()).await;
-    match collected {
-        Err(_) => Err(BodyError::Slow),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BodyError::Large),
-        Ok(Err(_)) => Err(BodyError::Broken),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    match Limited::new(body, most).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::Large),
+        Err(_) => Err(BodyError::Broken),
+    }
+}
+
+async fn discard(body: &mut Incoming) {
+    let mut left = DISCARD_MAX;
+    while let Some(Ok(frame)) = body.frame().await {
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        left = left.saturating_sub(length);
+        if left == 0 {
+            return;
+        }
     }
 }
 
