--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -5,6 +5,8 @@
 //! moment. The [`Journal`] keeps records for the platform, in batches and in
 //! bounded memory, and records what it had to drop.
 
+#![warn(clippy::unwrap_used)]
+
 mod journal;
 mod receipt;
 
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,7 @@
 //! `chestnut`: the operators' command line.
 
+#![warn(clippy::unwrap_used)]
+
 mod client;
 mod objects;
 mod show;
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -4,6 +4,8 @@
 //! The crate checks and orders configuration. It reads no file of its own
 //! accord except in [`Settings::open`], and talks to nobody.
 
+#![warn(clippy::unwrap_used)]
+
 mod book;
 mod error;
 mod object;
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,8 @@
 //! `chestnutd`: the daemon of an entry VM. Settings, logs and signals; the
 //! tier itself is a library.
 
+#![warn(clippy::unwrap_used)]
+
 mod log;
 
 use std::{path::PathBuf, process::ExitCode};
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -6,6 +6,8 @@
 //!   both can be told to fail in the ways that the real ones do.
 //! - [`load`] sends queries in an open loop and reports what came of them.
 
+#![warn(clippy::unwrap_used)]
+
 pub mod demo;
 mod gate;
 pub mod load;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -1,5 +1,7 @@
 //! `chestnut-fake`: the stand-ins, the load driver and the demo.
 
+#![warn(clippy::unwrap_used)]
+
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
 
 use chestnut_fake::{
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -7,6 +7,8 @@
 //! self-doubt of Lifeguard (Dadgar, Phillips, Currey, 2017), so that the cost
 //! for one member does not grow with their number.
 
+#![warn(clippy::unwrap_used)]
+
 mod confirm;
 mod entries;
 mod holder;
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -15,6 +15,8 @@
 //! assert_eq!(keeper.claim(&ticket, 99, Wall(2)), Claim::Join);
 //! ```
 
+#![warn(clippy::unwrap_used)]
+
 mod keeper;
 mod ticket;
 
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -5,6 +5,8 @@
 //! targets, HTTP to the platform and Cap'n Proto to peers. Tests put fakes in
 //! their place.
 
+#![warn(clippy::unwrap_used)]
+
 mod clock;
 mod http;
 mod json;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,8 @@
 //! - [`Query`] drives one fan-out: calls, hedges, retries, merge, end.
 //! - [`Attempt`] and [`NotRun`] make "not run" true by construction.
 
+#![warn(clippy::unwrap_used)]
+
 mod admit;
 mod attempt;
 mod budget;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,6 +8,8 @@
 //! configuration, members, services, one service, gates, keeper, journal. No
 //! lock is held across an await.
 
+#![warn(clippy::unwrap_used)]
+
 mod admin;
 mod api;
 mod boot;
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -12,6 +12,8 @@
 //! assert!(!coverage.is_complete());
 //! ```
 
+#![warn(clippy::unwrap_used)]
+
 mod coverage;
 mod id;
 mod reason;
