Add the experiments: the daemon's decisions over modelled leafs, in virtual time

Cause: no figure told which policy is better. A plain event queue drives the same admission, choice, hedge, retry and pool code as the daemon.

--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod demo;
+pub mod experiment;
 mod gate;
 pub mod load;
 mod platform;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -7,6 +7,7 @@
 use chestnut_fake::{
     PlatformServer, TargetServer, World,
     demo::{Demo, objects_in},
+    experiment::{Shape, conditions, policies, run_table},
     load::{self, LoadConfig},
 };
 use chestnut_unit::parse_span;
@@ -62,10 +63,37 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Compare the routing policies under faults, in virtual time.
+    ///
+    /// Prints one row for each policy under each condition. The same seed gives
+    /// the same figures.
+    Experiment(ExperimentArgs),
     /// Send queries in an open loop and report latency, coverage and refusals.
     Load(LoadArgs),
 }
 
+#[derive(clap::Args)]
+struct ExperimentArgs {
+    /// Deployment: ladder (Flipperhouse) or archive (Hangin Pollen).
+    #[arg(long, default_value = "ladder")]
+    shape: String,
+    /// Only the policies whose name starts with this.
+    #[arg(long, default_value = "")]
+    policy: String,
+    /// Only the conditions whose name starts with this.
+    #[arg(long, default_value = "")]
+    condition: String,
+    /// Seed of arrivals and service times.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of a run.
+    #[arg(long, default_value = "20s", value_parser = span)]
+    span: Duration,
+    /// Write the 99th percentiles to this file, as SVG.
+    #[arg(long)]
+    plot: Option<PathBuf>,
+}
+
 #[derive(clap::Args)]
 struct LoadArgs {
     /// An entry to ask for the others.
@@ -123,6 +151,7 @@
         Command::Platform { folder } => platform(&folder).await,
         Command::Targets { folder, only } => targets(&folder, &only).await,
         Command::Settings { folder, out } => settings(&folder, &out),
+        Command::Experiment(args) => experiment(&args),
         Command::Load(args) => drive(args).await,
     }
 }
@@ -212,6 +241,27 @@
     Ok(())
 }
 
+fn experiment(args: &ExperimentArgs) -> Result<(), Failure> {
+    let mut shape = match args.shape.as_str() {
+        "ladder" => Shape::ladder(),
+        "archive" => Shape::archive(),
+        other => return Err(format!("--shape: {other:?} is not ladder or archive").into()),
+    };
+    shape.span = args.span;
+    let mut policies = policies();
+    policies.retain(|policy| policy.name.starts_with(&args.policy));
+    let mut conditions = conditions();
+    conditions.retain(|condition| condition.name.starts_with(&args.condition));
+    run_table(
+        &shape,
+        &policies,
+        &conditions,
+        args.seed,
+        args.plot.as_deref(),
+    )?;
+    Ok(())
+}
+
 async fn drive(args: LoadArgs) -> Result<(), Failure> {
     let config = LoadConfig {
         first: args.entry,
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -14,6 +14,17 @@
     pub initial: u32,
     /// Requests that may wait.
     pub queue: usize,
+    /// Whether the limit follows the service.
+    pub adapt: Adapt,
+}
+
+/// Whether a limit follows the service's run times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adapt {
+    /// It does.
+    Yes,
+    /// It stays what it was at first, for the baselines without limits.
+    No,
 }
 
 impl Default for AdmitConfig {
@@ -21,6 +32,7 @@
         Self {
             initial: 16,
             queue: 256,
+            adapt: Adapt::Yes,
         }
     }
 }
@@ -97,6 +109,7 @@
 #[derive(Clone, Debug)]
 pub struct Admission {
     limit: Limit,
+    adapt: Adapt,
     queue_max: usize,
     running: u32,
     queue: BTreeMap<Key, Yields>,
@@ -110,6 +123,7 @@
     pub fn new(config: AdmitConfig) -> Self {
         Self {
             limit: Limit::new(config.initial),
+            adapt: config.adapt,
             queue_max: config.queue,
             running: 0,
             queue: BTreeMap::new(),
@@ -175,7 +189,9 @@
         rng: &mut dyn Rng,
         out: &mut Vec<Release>,
     ) {
-        self.limit.record(span, self.running, shed, now);
+        if self.adapt == Adapt::Yes {
+            self.limit.record(span, self.running, shed, now);
+        }
         let sample = span.as_secs_f64();
         self.run_mean = match self.run_mean {
             0.0 => sample,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -26,7 +26,7 @@
 mod table;
 mod versions;
 
-pub use admit::{Admission, AdmitConfig, Decision, Order, Release, Yields};
+pub use admit::{Adapt, Admission, AdmitConfig, Decision, Order, Release, Yields};
 pub use attempt::{Attempt, Ended, Fate, NotRun, Planned, Queued, Sent};
 pub use budget::Budget;
 pub use choose::{Choice, choose_replica};
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -93,6 +93,12 @@
         self.most = most.max(1);
     }
 
+    /// The connections, open or being opened.
+    #[must_use]
+    pub fn ids(&self) -> Vec<ConnId> {
+        self.conns.keys().copied().collect()
+    }
+
     /// Decides on a new call.
     pub fn pick(&mut self, now: Time) -> Pick {
         let best = self
