Judge lateness by what is expected of each back end

Cause: one delay for all calls made calls to leafs nearby wait as long as calls across failure domains, and hedged the latter while they were not late. Ruled out: a histogram for each back end (40 kB each at the daemon's precision).

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -129,7 +129,7 @@
 impl Default for RouteSettings {
     fn default() -> Self {
         Self {
-            hedge: Share::from_permille(60),
+            hedge: Share::from_permille(80),
             retry: Share::from_permille(100),
             queue: 256,
             pool: 2,
--- a/crates/route/src/hedge.rs
+++ b/crates/route/src/hedge.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use chestnut_unit::Time;
-
 use crate::Quantiles;
 
 /// How hedges are timed.
@@ -17,9 +15,10 @@
     /// shards have answered and the wait passes what calls of the service
     /// usually take.
     Late {
-        /// The delay is at most this multiple of the median call. A quantile
-        /// alone fails when stragglers outnumber its complement: the delay
-        /// then is a straggler's own duration.
+        /// A call is late when it outlasts its expected time by at most this
+        /// multiple of the median call. A quantile alone fails when
+        /// stragglers outnumber its complement: the delay then is a
+        /// straggler's own duration.
         times: f64,
         /// Largest share of shards that may be missing for a hedge. More
         /// means that the service is slow, not a few calls, and extra calls
@@ -36,16 +35,24 @@
 const DELAY_MIN: Duration = Duration::from_micros(500);
 
 impl Hedge {
-    /// Delay from the sending of a call to its hedge.
+    /// Delay from the sending of a call that is expected to take `expected`
+    /// to its hedge. `excess` are the times by which calls of the service
+    /// outlast what was expected of their back end: a call to a leaf nearby
+    /// is late sooner than one across failure domains.
     #[must_use]
-    pub fn delay(&self, calls: &Quantiles) -> Option<Duration> {
+    pub fn delay(
+        &self,
+        expected: Duration,
+        calls: &Quantiles,
+        excess: &Quantiles,
+    ) -> Option<Duration> {
         match *self {
             Self::Never => None,
             Self::Fixed(delay) => Some(delay),
             Self::Late { .. } if calls.count() < SAMPLES_NEEDED => Some(DELAY_UNKNOWN),
             Self::Late { times, .. } => {
                 let cap = calls.median().mul_f64(times);
-                Some(calls.high().min(cap).max(DELAY_MIN))
+                Some((expected + excess.high().min(cap)).max(DELAY_MIN))
             }
         }
     }
@@ -62,41 +69,3 @@
         }
     }
 }
-
-/// The next point at which a query looks for late shards.
-#[derive(Clone, Copy, Debug)]
-pub struct HedgeTimer {
-    delay: Duration,
-    due: Time,
-}
-
-impl HedgeTimer {
-    /// First look after `delay`.
-    #[must_use]
-    pub fn new(start: Time, delay: Duration) -> Self {
-        Self {
-            delay,
-            due: start + delay,
-        }
-    }
-
-    /// The delay of this query. It is fixed at its start: were it worked out
-    /// anew at each look, a rise of a few microseconds in between would make
-    /// the shards that are due look early, and they would wait for another
-    /// whole delay.
-    #[must_use]
-    pub fn delay(&self) -> Duration {
-        self.delay
-    }
-
-    /// When to look.
-    #[must_use]
-    pub fn due(&self) -> Time {
-        self.due
-    }
-
-    /// Sets the next look one delay after `now`.
-    pub fn again(&mut self, now: Time) {
-        self.due = now + self.delay;
-    }
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,7 +33,7 @@
 pub use damped::Damped;
 pub use estimate::{Estimate, Quantiles};
 pub use gauge::Gauge;
-pub use hedge::{Hedge, HedgeTimer};
+pub use hedge::Hedge;
 pub use limit::Limit;
 pub use orglimit::{OrgGate, OrgGates};
 pub use pool::{ConnId, Pick, Pool};
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use crate::{
-    Attempt, Ended, Failure, HedgeTimer, Ix, NotRun, Refusal, Routes, Sent, Table,
+    Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table,
     choose::choose_replica,
 };
 
@@ -96,13 +96,16 @@
 /// taken off the deadline at each hop.
 const HOP: Duration = Duration::from_millis(1);
 
+/// Time after which late shards that could not be hedged are looked at again.
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
+
 #[derive(Debug)]
 struct Shard<P> {
     route: usize,
     part: Option<P>,
     tried: Vec<Ix>,
     live: u32,
-    latest: Time,
+    due: Time,
 }
 
 #[derive(Debug)]
@@ -138,7 +141,7 @@
     calls: Vec<Call>,
     ends: Vec<Ended>,
     pending: usize,
-    timer: Option<HedgeTimer>,
+    look: Time,
     end: Option<End>,
     shed: bool,
 }
@@ -153,7 +156,6 @@
     ) -> Self {
         let all: Vec<usize> = (0..routes.shards.len()).collect();
         let chosen = subset.unwrap_or(&all);
-        let delay = cx.table.config.hedge.delay(&cx.table.calls);
         let mut query = Self {
             shards: chosen.iter().map(|route| Shard::new(*route)).collect(),
             pending: chosen.len(),
@@ -161,7 +163,7 @@
             config,
             calls: Vec::new(),
             ends: Vec::new(),
-            timer: delay.map(|delay| HedgeTimer::new(cx.now, delay)),
+            look: Time::MAX,
             end: None,
             shed: false,
         };
@@ -227,7 +229,7 @@
             self.finish(End::Partial(Give::Deadline), cx);
             return;
         }
-        if self.timer.is_some_and(|timer| cx.now >= timer.due()) {
+        if cx.now >= self.look {
             self.hedge(cx);
         }
     }
@@ -242,8 +244,7 @@
     /// When [`Query::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
-        let due = self.timer.map_or(Time::MAX, |timer| timer.due());
-        due.min(self.config.deadline)
+        self.look.min(self.config.deadline)
     }
 
     /// How the query ended, if it has.
@@ -356,26 +357,37 @@
         self.call(orphans, kind, cx);
     }
 
-    /// Calls a second replica for the shards that are late.
+    /// Calls a second replica for the shards that are late, and sets the time
+    /// of the next look. The delays are fixed when a call is sent: were they
+    /// worked out anew at each look, a small rise in between would make late
+    /// shards look early, and they would wait for another whole delay.
     fn hedge(&mut self, cx: &mut Context<'_>) {
-        let Some(timer) = &mut self.timer else {
-            return;
-        };
+        self.look = Time::MAX;
         let hedge = cx.table.config.hedge;
-        let delay = timer.delay();
-        timer.again(cx.now);
         if !hedge.is_late(self.pending, self.shards.len()) {
+            self.look = cx.now + LOOK_AGAIN;
             return;
         }
         let late: Vec<usize> = (0..self.shards.len())
             .filter(|position| {
                 let shard = &self.shards[*position];
-                shard.part.is_none() && shard.live > 0 && shard.latest + delay <= cx.now
+                shard.part.is_none() && shard.live > 0 && shard.due <= cx.now
             })
             .collect();
         if !late.is_empty() {
             self.call(&late, CallKind::Hedge, cx);
         }
+        self.look = self.next_due(cx.now);
+    }
+
+    /// When the next pending shard is late. One that is late already and got
+    /// no hedge, for want of a replica or budget, is looked at again shortly.
+    fn next_due(&self, now: Time) -> Time {
+        let pending = self.shards.iter().filter(|shard| shard.part.is_none());
+        pending
+            .map(|shard| shard.due.max(now + LOOK_AGAIN))
+            .min()
+            .unwrap_or(Time::MAX)
     }
 
     /// Chooses a replica for each shard and makes one call to each replica
@@ -419,11 +431,14 @@
 
     fn send(&mut self, to: Ix, shards: Vec<usize>, kind: CallKind, cx: &mut Context<'_>) {
         let id = CallId(u32::try_from(self.calls.len()).expect("fewer than 2^32 calls"));
+        let delay = cx.table.hedge_delay(to, cx.now);
+        let due = delay.map_or(Time::MAX, |delay| cx.now + delay);
+        self.look = self.look.min(due);
         for position in &shards {
             let shard = &mut self.shards[*position];
             shard.tried.push(to);
             shard.live += 1;
-            shard.latest = cx.now;
+            shard.due = due;
         }
         cx.table.sent(to);
         cx.out.push(Action::Call {
@@ -524,7 +539,7 @@
             part: None,
             tried: Vec::new(),
             live: 0,
-            latest: Time::ZERO,
+            due: Time::MAX,
         }
     }
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -105,10 +105,10 @@
         Self {
             choice: Choice::Predicted,
             hedge: Hedge::Late {
-                times: 2.0,
+                times: 1.0,
                 missing: 0.34,
             },
-            hedge_share: Share::from_permille(60),
+            hedge_share: Share::from_permille(80),
             retry_share: Share::from_permille(100),
             guard: Guard::On,
         }
@@ -177,6 +177,7 @@
     pub(crate) states: Vec<State>,
     index: BTreeMap<Backend, Ix>,
     pub(crate) calls: Quantiles,
+    pub(crate) excess: Quantiles,
     pub(crate) hedges: Budget,
     pub(crate) retries: Budget,
     pub(crate) gauge: Gauge,
@@ -196,6 +197,7 @@
             states: Vec::new(),
             index: BTreeMap::new(),
             calls: Quantiles::new(LATE_QUANTILE),
+            excess: Quantiles::new(LATE_QUANTILE),
             gauge: Gauge::default(),
             turn: 0,
             damped: Damped::default(),
@@ -303,6 +305,8 @@
 
     /// Takes an answer after `span`.
     pub fn answered(&mut self, ix: Ix, span: Duration, now: Time) {
+        let expected = self.expected_span(ix, now);
+        self.excess.record(span.saturating_sub(expected));
         self.calls.record(span);
         self.damped.record(ix, span, now);
         let state = &mut self.states[ix.index()];
@@ -366,6 +370,19 @@
         self.states[ix.index()].estimate.mean_at(now, typical)
     }
 
+    /// [`Table::expected`] as a span.
+    #[must_use]
+    pub fn expected_span(&self, ix: Ix, now: Time) -> Duration {
+        Duration::from_nanos(self.expected(ix, now) as u64)
+    }
+
+    /// Delay from the sending of a call to `ix` to its hedge.
+    #[must_use]
+    pub(crate) fn hedge_delay(&self, ix: Ix, now: Time) -> Option<Duration> {
+        let expected = self.expected_span(ix, now);
+        self.config.hedge.delay(expected, &self.calls, &self.excess)
+    }
+
     /// Factor by which a hint and the ramp of a cold leaf worsen a score.
     #[must_use]
     pub(crate) fn handicap(&self, ix: Ix, now: Time) -> f64 {
