Find silent connections by asking them, and try their leafs again

Cause: a pool learnt of silence only from cancelled calls, could not open a connection beyond its two, and a shard whose three replicas were all caught had nothing left to try: it waited for the pings, 1.5 s, past its deadline. Now a call that waits 40 ms has the connection looked at, a second one is opened within the leaf's share, and a small call on the first, 50 ms long, tells slow from silent. Calls cut off that way count nothing against the leaf and may go to it once more.

--- a/crates/fake/src/experiment/entry.rs
+++ b/crates/fake/src/experiment/entry.rs
@@ -64,7 +64,7 @@
         };
         let ixs: Vec<Ix> = (0..shape.leafs).map(add).collect();
         let link = || Link {
-            pool: Pool::new(shape.pool),
+            pool: Pool::new(shape.pool, shape.spare),
             silent: Vec::new(),
             waiting: Vec::new(),
             flying: BTreeMap::new(),
--- a/crates/fake/src/experiment/sim.rs
+++ b/crates/fake/src/experiment/sim.rs
@@ -3,8 +3,8 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use chestnut_route::{
-    Action, CallId, ConnId, Context, Decision, End, Failure, Give, Order, Pick, Query, QueryConfig,
-    Refusal, Release, Yields,
+    Action, CallId, ConnId, Context, Decision, End, Failure, Give, Order, PATIENCE, Pick, Query,
+    QueryConfig, Refusal, Release, Yields,
 };
 use chestnut_unit::{IndexVersion, Reason, RequestId, ServiceName, Share, Time, Urgency};
 use rand::{Rng, SeedableRng};
@@ -38,6 +38,8 @@
     pub connections: usize,
     /// Connections that an entry opens to a leaf.
     pub pool: usize,
+    /// Connections more while some are quiet.
+    pub spare: usize,
     /// Time to open a connection.
     pub open: Duration,
     /// Median time of a call.
@@ -66,6 +68,7 @@
             slots: 5,
             connections: 40,
             pool: 2,
+            spare: 2,
             open: Duration::from_millis(6),
             median: Duration::from_millis(4),
             near: Duration::from_micros(300),
@@ -130,6 +133,15 @@
         leaf: usize,
         conn: ConnId,
     },
+    Probed {
+        entry: usize,
+        leaf: usize,
+        conn: ConnId,
+    },
+    Check {
+        entry: usize,
+        leaf: usize,
+    },
     Tick {
         entry: usize,
         query: u64,
@@ -177,6 +189,8 @@
 const ARCHIVE_DEADLINE: Duration = Duration::from_secs(10);
 /// Time in which a connection's pings find that it is silent.
 const PING_FINDS: Duration = Duration::from_millis(1500);
+/// Longest wait for the answer to a probe of a quiet connection.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// Time between two readings of the health and load endpoints.
 const HINTS: Duration = Duration::from_secs(1);
 /// How long the leafs keep the old index version beside the new one.
@@ -290,6 +304,8 @@
             }
             Event::Opened { entry, leaf, conn } => self.opened(entry, leaf, conn),
             Event::Silent { entry, leaf, conn } => self.found_silent(entry, leaf, conn),
+            Event::Probed { entry, leaf, conn } => self.probed(entry, leaf, conn),
+            Event::Check { entry, leaf } => self.check(entry, leaf),
             Event::Tick { entry, query } => self.tick(entry, query),
             Event::Expire { entry } => self.expire(entry),
             Event::Hints => self.hints(),
@@ -589,10 +605,6 @@
         let link = &mut self.entries[at].links[leaf];
         match link.pool.pick(now) {
             Pick::Use(conn) => self.transmit(at, leaf, conn, call),
-            Pick::UseAndOpen { now: conn, open } => {
-                self.open(at, leaf, open);
-                self.transmit(at, leaf, conn, call);
-            }
             Pick::Open(conn) => {
                 link.waiting.push(call);
                 self.open(at, leaf, conn);
@@ -633,21 +645,63 @@
             }
             return;
         }
-        link.pool.opened(conn, now);
+        link.pool.opened(conn);
+        let quiet = link.pool.quiet(now);
         self.leafs[leaf].connect();
         if now > Time::ZERO + WARM {
             self.entries[at].opened += 1;
         }
+        for conn in quiet {
+            self.probe(at, leaf, conn);
+        }
         for call in waiting {
             self.send(at, leaf, call);
         }
     }
 
+    /// Asks a quiet connection for a small answer.
+    fn probe(&mut self, at: usize, leaf: usize, conn: ConnId) {
+        let silent = self.entries[at].links[leaf].silent.contains(&conn);
+        let span = if silent {
+            PROBE_WAIT
+        } else {
+            self.latency(at, leaf) * 2
+        };
+        self.after(
+            span,
+            Event::Probed {
+                entry: at,
+                leaf,
+                conn,
+            },
+        );
+    }
+
+    fn probed(&mut self, at: usize, leaf: usize, conn: ConnId) {
+        let now = self.now;
+        let link = &mut self.entries[at].links[leaf];
+        if link.silent.contains(&conn) {
+            self.found_silent(at, leaf, conn);
+        } else {
+            link.pool.alive(conn, now);
+        }
+    }
+
+    fn check(&mut self, at: usize, leaf: usize) {
+        let now = self.now;
+        if let Some(conn) = self.entries[at].links[leaf].pool.check(now) {
+            self.open(at, leaf, conn);
+        }
+    }
+
     fn transmit(&mut self, at: usize, leaf: usize, conn: ConnId, call: Waiting) {
         let span = self.latency(at, leaf);
         let link = &mut self.entries[at].links[leaf];
-        link.pool.sent(conn);
+        link.pool.sent(conn, self.now);
         link.flying.insert((call.query, call.call), conn);
+        let looks = PATIENCE + Duration::from_millis(1);
+        self.after(looks, Event::Check { entry: at, leaf });
+        let link = &self.entries[at].links[leaf];
         if link.silent.contains(&conn) {
             return;
         }
@@ -744,17 +798,13 @@
     }
 
     fn cancel(&mut self, at: usize, query: u64, call: CallId) {
-        let now = self.now;
         for leaf in 0..self.leafs.len() {
             let link = &mut self.entries[at].links[leaf];
             link.waiting.retain(|w| (w.query, w.call) != (query, call));
             let Some(conn) = link.flying.remove(&(query, call)) else {
                 continue;
             };
-            if link.pool.missed(conn, now) {
-                link.silent.retain(|c| *c != conn);
-                self.leafs[leaf].connections -= 1;
-            }
+            link.pool.missed(conn);
             let span = self.latency(at, leaf);
             self.after(
                 span,
@@ -772,13 +822,17 @@
     /// The pings of a connection found that it is silent: it closes, and the
     /// calls on it are lost.
     fn found_silent(&mut self, at: usize, leaf: usize, conn: ConnId) {
-        let link = &mut self.entries[at].links[leaf];
-        if !link.silent.contains(&conn) {
-            return;
+        if self.entries[at].links[leaf].silent.contains(&conn) {
+            self.entries[at].links[leaf].pool.closed(conn);
+            self.close(at, leaf, conn);
         }
+    }
+
+    /// Closes a silent connection; the calls on it are cut off.
+    fn close(&mut self, at: usize, leaf: usize, conn: ConnId) {
+        self.leafs[leaf].connections = self.leafs[leaf].connections.saturating_sub(1);
+        let link = &mut self.entries[at].links[leaf];
         link.silent.retain(|c| *c != conn);
-        link.pool.closed(conn);
-        self.leafs[leaf].connections -= 1;
         let lost: Vec<(u64, CallId)> = link
             .flying
             .iter()
@@ -787,7 +841,7 @@
             .collect();
         for (query, call) in lost {
             self.entries[at].links[leaf].flying.remove(&(query, call));
-            self.event(at, query, |q, cx| q.fail(call, Failure::Lost, cx));
+            self.event(at, query, |q, cx| q.fail(call, Failure::Cut, cx));
         }
     }
 
@@ -854,7 +908,7 @@
         }
         self.leafs[leaf].connections = 0;
         for entry in &mut self.entries {
-            entry.links[leaf].pool = chestnut_route::Pool::new(self.shape.pool);
+            entry.links[leaf].pool = chestnut_route::Pool::new(self.shape.pool, self.shape.spare);
         }
     }
 
@@ -912,6 +966,8 @@
         Event::Reply { job, .. } => Some(job.entry),
         Event::Opened { entry, .. }
         | Event::Silent { entry, .. }
+        | Event::Probed { entry, .. }
+        | Event::Check { entry, .. }
         | Event::Tick { entry, .. }
         | Event::Expire { entry } => Some(*entry),
         _ => None,
--- a/crates/port/src/target_http.rs
+++ b/crates/port/src/target_http.rs
@@ -1,21 +1,24 @@
 //! The adapter to targets: HTTP/2 with prior knowledge.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use bytes::Bytes;
-use chestnut_route::{ConnId, Failure, Pick, Pool, Refusal};
+use chestnut_route::{ConnId, Failure, PATIENCE, Pick, Pool, Refusal};
 use chestnut_unit::LeafId;
 use futures::{FutureExt, future::BoxFuture};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, body::Incoming, client::conn::http2};
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use serde::Deserialize;
-use tokio::{net::TcpStream, sync::Notify, time::timeout};
+use tokio::{net::TcpStream, sync::Notify, task::AbortHandle, time::timeout};
 
 use crate::{Clock, LeafAnswer, LeafQuery, LeafState, LeafSubmit, Targets};
 
@@ -44,23 +47,34 @@
     }
 }
 
+/// Longest wait for the answer to a probe of a quiet connection.
+const PROBE_WAIT: Duration = Duration::from_millis(50);
 /// Longest wait for a leaf's health and load endpoint.
 const STATE_WAIT: Duration = Duration::from_secs(1);
 
 type Sender = http2::SendRequest<Full<Bytes>>;
 
+/// An open connection. Aborting its task ends every call on it at once.
+struct Open {
+    sender: Sender,
+    task: AbortHandle,
+}
+
 /// Connections to one leaf.
 struct LeafConns {
     address: SocketAddr,
-    pool: Mutex<(Pool, BTreeMap<ConnId, Sender>)>,
+    pool: Mutex<(Pool, BTreeMap<ConnId, Open>)>,
     opened: Notify,
+    /// Connections that were closed for their silence. Calls on them ask.
+    silenced: Mutex<BTreeSet<ConnId>>,
 }
 
 struct Inner {
     config: TargetsConfig,
     clock: Clock,
     leafs: Mutex<BTreeMap<LeafId, Arc<LeafConns>>>,
-    most: std::sync::atomic::AtomicUsize,
+    most: AtomicUsize,
+    share: usize,
 }
 
 /// The adapter to targets. Lock order: the map of leafs, then one leaf's pool.
@@ -70,14 +84,16 @@
 }
 
 impl HttpTargets {
-    /// An adapter without connections, which opens at most `most` to a leaf.
+    /// An adapter without connections, which opens at most `most` to a leaf,
+    /// and up to `share` while some are quiet.
     #[must_use]
-    pub fn new(config: TargetsConfig, clock: Clock, most: usize) -> Self {
+    pub fn new(config: TargetsConfig, clock: Clock, most: usize, share: usize) -> Self {
         let inner = Inner {
             config,
             clock,
             leafs: Mutex::new(BTreeMap::new()),
             most: most.into(),
+            share,
         };
         Self {
             inner: Arc::new(inner),
@@ -91,11 +107,13 @@
         {
             return leaf.clone();
         }
-        let most = self.inner.most.load(std::sync::atomic::Ordering::Relaxed);
+        let most = self.inner.most.load(Ordering::Relaxed);
+        let pool = Pool::new(most, self.inner.share.saturating_sub(most));
         let leaf = Arc::new(LeafConns {
             address,
-            pool: Mutex::new((Pool::new(most), BTreeMap::new())),
+            pool: Mutex::new((pool, BTreeMap::new())),
             opened: Notify::new(),
+            silenced: Mutex::new(BTreeSet::new()),
         });
         leafs.insert(id.clone(), leaf.clone());
         leaf
@@ -109,11 +127,6 @@
             let pick = lock(&leaf.pool).0.pick(self.inner.clock.now());
             let id = match pick {
                 Pick::Use(id) => id,
-                Pick::UseAndOpen { now, open } => {
-                    let (this, leaf) = (self.clone(), leaf.clone());
-                    tokio::spawn(async move { this.open(&leaf, open).await });
-                    now
-                }
                 Pick::Open(id) => {
                     let (this, leaf) = (self.clone(), leaf.clone());
                     // In a task of its own: a call that is cancelled must not
@@ -137,20 +150,67 @@
 
     async fn open(&self, leaf: &Arc<LeafConns>, id: ConnId) {
         let connected = timeout(self.inner.config.connect, self.handshake(leaf, id)).await;
+        let quiet = self.settle(leaf, id, connected.ok().and_then(Result::ok));
+        leaf.opened.notify_waiters();
+        for id in quiet {
+            self.question(leaf, id).await;
+        }
+    }
+
+    /// Notes how the opening of a connection went; returns the quiet ones.
+    fn settle(&self, leaf: &LeafConns, id: ConnId, opened: Option<Open>) -> Vec<ConnId> {
         let now = self.inner.clock.now();
         let mut pool = lock(&leaf.pool);
-        match connected {
-            Ok(Ok(sender)) => {
-                pool.1.insert(id, sender);
-                pool.0.opened(id, now);
+        match opened {
+            Some(open) => {
+                pool.1.insert(id, open);
+                pool.0.opened(id);
             }
-            Ok(Err(_)) | Err(_) => pool.0.refused(id, now),
+            None => pool.0.refused(id, now),
         }
-        drop(pool);
-        leaf.opened.notify_waiters();
+        pool.0.quiet(now)
     }
 
-    async fn handshake(&self, leaf: &Arc<LeafConns>, id: ConnId) -> Result<Sender, HandshakeError> {
+    /// Tells slow from silent: a connection that does not even answer a small
+    /// call, while a new one could be opened, is closed.
+    async fn question(&self, leaf: &Arc<LeafConns>, id: ConnId) {
+        let Some(mut sender) = usable(leaf, id) else {
+            return;
+        };
+        let Ok(request) = post(leaf, "/state", Vec::new()) else {
+            return;
+        };
+        let answered = timeout(PROBE_WAIT, sender.send_request(request)).await;
+        let mut pool = lock(&leaf.pool);
+        if answered.is_ok() {
+            pool.0.alive(id, self.inner.clock.now());
+            return;
+        }
+        pool.0.closed(id);
+        lock(&leaf.silenced).insert(id);
+        if let Some(open) = pool.1.remove(&id) {
+            open.task.abort();
+        }
+    }
+
+    /// Waits for an answer, and has the connections looked at when it is long
+    /// in coming.
+    async fn patiently<T>(&self, leaf: &Arc<LeafConns>, answer: impl Future<Output = T>) -> T {
+        let mut answer = std::pin::pin!(answer);
+        if let Ok(answer) = timeout(PATIENCE, &mut answer).await {
+            return answer;
+        }
+        // A little later, so that the connection counts as quiet by now.
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let open = lock(&leaf.pool).0.check(self.inner.clock.now());
+        if let Some(id) = open {
+            let (this, leaf) = (self.clone(), leaf.clone());
+            tokio::spawn(async move { this.open(&leaf, id).await });
+        }
+        answer.await
+    }
+
+    async fn handshake(&self, leaf: &Arc<LeafConns>, id: ConnId) -> Result<Open, HandshakeError> {
         let stream = TcpStream::connect(leaf.address)
             .await
             .map_err(|_| HandshakeError)?;
@@ -164,7 +224,7 @@
             .await
             .map_err(|_| HandshakeError)?;
         let weak = Arc::downgrade(leaf);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             // The reason does not matter: each call on it learns its own fate.
             let _ = conn.await;
             if let Some(leaf) = weak.upgrade() {
@@ -173,7 +233,10 @@
                 pool.1.remove(&id);
             }
         });
-        Ok(sender)
+        Ok(Open {
+            sender,
+            task: task.abort_handle(),
+        })
     }
 
     async fn call(
@@ -183,28 +246,28 @@
         body: Vec<u8>,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let (id, mut sender) = self.connection(leaf).await?;
-        let request = Request::post(format!("http://{}{path}", leaf.address))
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(body)))
-            .map_err(|_| Failure::NotSent)?;
+        let request = post(leaf, path, body)?;
         if sender.ready().await.is_err() {
             lock(&leaf.pool).0.closed(id);
             return Err(Failure::NotSent);
         }
         let mut flight = Flight::start(leaf, id, self.inner.clock);
-        let answer = sender
-            .send_request(request)
+        let answer = self
+            .patiently(leaf, sender.send_request(request))
             .await
-            .map_err(|_| Failure::Lost)?;
+            .map_err(|_| lost_on(leaf, id))?;
         let status = answer.status();
-        let body = self.body(answer.into_body()).await?;
+        let body = self
+            .body(answer.into_body())
+            .await
+            .map_err(|_| lost_on(leaf, id))?;
         flight.answered();
         Ok((status, body))
     }
 
-    async fn body(&self, body: Incoming) -> Result<Bytes, Failure> {
+    async fn body(&self, body: Incoming) -> Result<Bytes, BrokenBody> {
         let limited = Limited::new(body, self.inner.config.answer);
-        let collected = limited.collect().await.map_err(|_| Failure::Lost)?;
+        let collected = limited.collect().await.map_err(|_| BrokenBody)?;
         Ok(collected.to_bytes())
     }
 }
@@ -212,6 +275,19 @@
 /// A connection could not be opened; nothing more is known or needed.
 struct HandshakeError;
 
+/// An answer broke off or is larger than the limit.
+struct BrokenBody;
+
+/// How a call was lost: with a connection that was closed for its silence, or
+/// otherwise.
+fn lost_on(leaf: &LeafConns, id: ConnId) -> Failure {
+    if lock(&leaf.silenced).contains(&id) {
+        Failure::Cut
+    } else {
+        Failure::Lost
+    }
+}
+
 /// A call on a connection; tells the pool how it ended, also when the call is
 /// cancelled by dropping it.
 struct Flight {
@@ -223,7 +299,7 @@
 
 impl Flight {
     fn start(leaf: &Arc<LeafConns>, id: ConnId, clock: Clock) -> Self {
-        lock(&leaf.pool).0.sent(id);
+        lock(&leaf.pool).0.sent(id, clock.now());
         Self {
             leaf: leaf.clone(),
             id,
@@ -243,10 +319,7 @@
         if self.over {
             return;
         }
-        let mut pool = lock(&self.leaf.pool);
-        if pool.0.missed(self.id, self.clock.now()) {
-            pool.1.remove(&self.id);
-        }
+        lock(&self.leaf.pool).0.missed(self.id);
     }
 }
 
@@ -289,8 +362,8 @@
     }
 
     fn hold(&self, held: Vec<(LeafId, SocketAddr)>, most: usize) {
-        let ordering = std::sync::atomic::Ordering::Relaxed;
-        self.inner.most.store(most, ordering);
+        self.inner.most.store(most, Ordering::Relaxed);
+        let spare = self.inner.share.saturating_sub(most);
         let keep: BTreeMap<LeafId, SocketAddr> = held.into_iter().collect();
         let kept: Vec<Arc<LeafConns>> = {
             let mut leafs = lock(&self.inner.leafs);
@@ -298,7 +371,7 @@
             leafs.values().cloned().collect()
         };
         for leaf in kept {
-            lock(&leaf.pool).0.set_most(most);
+            lock(&leaf.pool).0.set_most(most, spare);
         }
         for (id, address) in keep {
             let this = self.clone();
@@ -320,7 +393,8 @@
 
 fn usable(leaf: &LeafConns, id: ConnId) -> Option<Sender> {
     let pool = lock(&leaf.pool);
-    pool.1.get(&id).filter(|s| !s.is_closed()).cloned()
+    let open = pool.1.get(&id).filter(|open| !open.sender.is_closed())?;
+    Some(open.sender.clone())
 }
 
 /// Locks a table. A panic while it was held is a broken invariant that has
@@ -329,6 +403,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn post(leaf: &LeafConns, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, Failure> {
+    Request::post(format!("http://{}{path}", leaf.address))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|_| Failure::NotSent)
+}
+
 fn query_body(call: &LeafQuery) -> Vec<u8> {
     let mut body = format!(
         r#"{{"request":{},"service":"{}","version":{},"deadline_ms":{},"shards":["#,
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -36,7 +36,7 @@
 pub use hedge::Hedge;
 pub use limit::Limit;
 pub use orglimit::{OrgGate, OrgGates};
-pub use pool::{ConnId, Pick, Pool};
+pub use pool::{ConnId, PATIENCE, Pick, Pool};
 pub use query::{Action, CallId, CallKind, Context, End, Give, Query, QueryConfig};
 pub use table::{Backend, Eviction, Failure, Guard, Ix, Refusal, Table, TableConfig};
 pub use versions::{Route, Routes, Versions};
--- a/crates/route/src/pool.rs
+++ b/crates/route/src/pool.rs
@@ -13,14 +13,6 @@
 pub enum Pick {
     /// Use this connection.
     Use(ConnId),
-    /// Use this connection, and open another in the background, since this one
-    /// looks silent.
-    UseAndOpen {
-        /// To use now.
-        now: ConnId,
-        /// To open.
-        open: ConnId,
-    },
     /// Open this connection first.
     Open(ConnId),
     /// Wait for a connection that is being opened.
@@ -29,22 +21,25 @@
     Down,
 }
 
-/// Calls in a row that a connection may leave unanswered before it counts as
-/// silent. One may be a straggler; two in a row on one connection, while the
-/// service answers elsewhere, seldom are.
-const MISSES_MAX: u32 = 2;
+/// How long a connection with calls under way may stay without any answer
+/// before it is questioned. Stragglers alone seldom silence a connection that
+/// long, and if they do it costs one probe.
+pub const PATIENCE: Duration = Duration::from_millis(40);
 /// How long a leaf is not tried again after it refused a connection.
 const DOWN_REST: Duration = Duration::from_millis(100);
-/// Time without any answer, calls being unanswered, after which a silent
-/// connection is closed.
-const SILENT_MAX: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Debug)]
 struct Conn {
     ready: bool,
     outstanding: u32,
-    missed: u32,
-    heard: Time,
+    /// Since when calls wait and nothing was heard; `None` while none waits.
+    quiet: Option<Time>,
+}
+
+impl Conn {
+    fn is_quiet(&self, now: Time) -> bool {
+        self.quiet.is_some_and(|since| now.since(since) > PATIENCE)
+    }
 }
 
 /// The connections of this entry to one leaf.
@@ -52,23 +47,29 @@
 /// A connection can go silent for good while new ones work, when something
 /// between the ends has lost track of it. No error ever comes; calls on it
 /// just don't answer. The pool judges each connection by itself, so that the
-/// leaf keeps its place in the routing: a connection that leaves calls
-/// unanswered is avoided, another is opened beside it within the limit, and it
-/// is closed when it has been silent for a second.
+/// leaf keeps its place in the routing: one that is quiet while calls wait is
+/// avoided, another is opened beside it, and a small call on the quiet one
+/// tells slow from silent. A silent one is closed, and its calls are told as
+/// cut off at once instead of waiting for their deadlines. The connection's
+/// own pings find a silent connection that carries no calls.
 #[derive(Clone, Debug)]
 pub struct Pool {
     most: usize,
+    spare: usize,
     conns: BTreeMap<ConnId, Conn>,
     next: u64,
     down: Time,
 }
 
 impl Pool {
-    /// A pool of at most `most` connections.
+    /// A pool of at most `most` connections, and `spare` more while some are
+    /// quiet. Both together must stay within this entry's share of the leaf's
+    /// connections.
     #[must_use]
-    pub fn new(most: usize) -> Self {
+    pub fn new(most: usize, spare: usize) -> Self {
         Self {
             most: most.max(1),
+            spare,
             conns: BTreeMap::new(),
             next: 0,
             down: Time::ZERO,
@@ -89,8 +90,9 @@
 
     /// Changes the most connections. Those above are not closed: calls run on
     /// them; they go as they end.
-    pub fn set_most(&mut self, most: usize) {
+    pub fn set_most(&mut self, most: usize, spare: usize) {
         self.most = most.max(1);
+        self.spare = spare;
     }
 
     /// The connections, open or being opened.
@@ -105,26 +107,46 @@
             .conns
             .iter()
             .filter(|(_, conn)| conn.ready)
-            .min_by_key(|(id, conn)| (conn.missed >= MISSES_MAX, conn.outstanding, **id))
-            .map(|(id, conn)| (*id, conn.missed >= MISSES_MAX));
+            .min_by_key(|(id, conn)| (conn.is_quiet(now), conn.outstanding, **id))
+            .map(|(id, _)| *id);
         let opening = self.conns.values().any(|conn| !conn.ready);
         match best {
             None if opening => Pick::Wait,
             None if now < self.down => Pick::Down,
-            None => Pick::Open(self.begin(now)),
-            Some((id, true)) if !opening && self.may_open(now) => Pick::UseAndOpen {
-                now: id,
-                open: self.begin(now),
-            },
-            Some((id, _)) => Pick::Use(id),
+            None => Pick::Open(self.begin()),
+            Some(id) => Pick::Use(id),
+        }
+    }
+
+    /// Looks for quiet connections, [`PATIENCE`] after a call went out. Returns
+    /// a connection to open beside them, if there is need and room.
+    pub fn check(&mut self, now: Time) -> Option<ConnId> {
+        let opening = self.conns.values().any(|conn| !conn.ready);
+        let all_quiet = self.conns.values().all(|conn| conn.is_quiet(now));
+        if opening || !all_quiet || !self.may_open(now) {
+            return None;
+        }
+        Some(self.begin())
+    }
+
+    /// The connections that are quiet and have to be probed.
+    #[must_use]
+    pub fn quiet(&self, now: Time) -> Vec<ConnId> {
+        let quiet = self.conns.iter().filter(|(_, conn)| conn.is_quiet(now));
+        quiet.map(|(id, _)| *id).collect()
+    }
+
+    /// A probe was answered: the connection is slow, not silent.
+    pub fn alive(&mut self, id: ConnId, now: Time) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.quiet = (conn.outstanding > 0).then_some(now);
         }
     }
 
     /// A connection is open.
-    pub fn opened(&mut self, id: ConnId, now: Time) {
+    pub fn opened(&mut self, id: ConnId) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.ready = true;
-            conn.heard = now;
         }
     }
 
@@ -140,9 +162,10 @@
     }
 
     /// A call goes out on a connection.
-    pub fn sent(&mut self, id: ConnId) {
+    pub fn sent(&mut self, id: ConnId, now: Time) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.outstanding += 1;
+            conn.quiet.get_or_insert(now);
         }
     }
 
@@ -150,38 +173,29 @@
     pub fn answered(&mut self, id: ConnId, now: Time) {
         if let Some(conn) = self.conns.get_mut(&id) {
             conn.outstanding = conn.outstanding.saturating_sub(1);
-            conn.missed = 0;
-            conn.heard = now;
         }
+        self.alive(id, now);
     }
 
-    /// A call ended without an answer. Returns whether the connection has to
-    /// be closed.
-    pub fn missed(&mut self, id: ConnId, now: Time) -> bool {
-        let Some(conn) = self.conns.get_mut(&id) else {
-            return false;
-        };
-        conn.outstanding = conn.outstanding.saturating_sub(1);
-        conn.missed += 1;
-        let silent = conn.missed >= MISSES_MAX && now.since(conn.heard) >= SILENT_MAX;
-        if silent {
-            self.conns.remove(&id);
+    /// A call was given up without an answer. The connection stays quiet: that
+    /// nobody waits any more proves nothing about it.
+    pub fn missed(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.get_mut(&id) {
+            conn.outstanding = conn.outstanding.saturating_sub(1);
         }
-        silent
     }
 
     fn may_open(&self, now: Time) -> bool {
-        self.conns.len() < self.most && now >= self.down
+        self.conns.len() < self.most + self.spare && now >= self.down
     }
 
-    fn begin(&mut self, now: Time) -> ConnId {
+    fn begin(&mut self) -> ConnId {
         let id = ConnId(self.next);
         self.next += 1;
         let conn = Conn {
             ready: false,
             outstanding: 0,
-            missed: 0,
-            heard: now,
+            quiet: None,
         };
         self.conns.insert(id, conn);
         id
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -6,8 +6,7 @@
 use rand::Rng;
 
 use crate::{
-    Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table,
-    choose::choose_replica,
+    Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table, choose::choose_replica,
 };
 
 /// Number of a call within its query.
@@ -24,8 +23,9 @@
     /// A call after an earlier one was lost or shed.
     Retry,
     /// A call after an earlier one that cost its target nothing: it never
-    /// left this entry, or the target is leaving or lacks the snapshot. It
-    /// adds no load, so no budget limits it; the number of replicas does.
+    /// left this entry, or the target is leaving or lacks the snapshot, or its
+    /// connection was silent. It adds no load, so no budget limits it; the
+    /// number of replicas does.
     Reroute,
 }
 
@@ -207,7 +207,7 @@
         };
         let to = attempt.to();
         self.ends.push(match failure {
-            Failure::Lost => attempt.lose(),
+            Failure::Lost | Failure::Cut => attempt.lose(),
             Failure::Refused(_) => attempt.refuse_unrun(),
             Failure::NotSent => attempt.prove_unsent(),
         });
@@ -416,14 +416,17 @@
     fn choose_for(&self, position: usize, kind: CallKind, cx: &mut Context<'_>) -> Option<Ix> {
         let shard = &self.shards[position];
         let replicas = &self.routes.shards[shard.route].replicas;
-        let to = choose_replica(
-            cx.table,
-            replicas,
-            &shard.tried,
-            self.version(),
-            cx.now,
-            cx.rng,
-        )?;
+        let version = self.version();
+        let fresh = choose_replica(cx.table, replicas, &shard.tried, version, cx.now, cx.rng);
+        let to = match fresh {
+            Some(to) => to,
+            // Every replica was tried and none answered. What was lost with
+            // its connection may well be answered over another one.
+            None if is_repair(kind) && shard.tried.len() < replicas.len() * ROUNDS => {
+                choose_replica(cx.table, replicas, &[], version, cx.now, cx.rng)?
+            }
+            None => return None,
+        };
         let need = Duration::from_nanos(cx.table.expected(to, cx.now) as u64);
         let pointless = kind == CallKind::Hedge && cx.now + need >= self.config.deadline;
         (!pointless).then_some(to)
@@ -548,6 +551,7 @@
 fn kind_after(failure: Failure) -> CallKind {
     match failure {
         Failure::NotSent
+        | Failure::Cut
         | Failure::Refused(Refusal::Draining | Refusal::NoSnapshot | Refusal::Connections) => {
             CallKind::Reroute
         }
@@ -555,6 +559,14 @@
     }
 }
 
+/// Times that each replica of a shard may be called for one query.
+const ROUNDS: usize = 2;
+
+/// Whether a call makes good one that failed.
+fn is_repair(kind: CallKind) -> bool {
+    matches!(kind, CallKind::Retry | CallKind::Reroute)
+}
+
 /// Takes a call of `kind` from its budget.
 fn pay(kind: CallKind, cx: &mut Context<'_>) -> bool {
     let paid = match kind {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -64,6 +64,9 @@
     Refused(Refusal),
     /// It was sent and no usable answer came.
     Lost,
+    /// It was sent on a connection that turned out to be silent. As lost, but
+    /// nothing is said against the target.
+    Cut,
 }
 
 impl fmt::Display for Failure {
@@ -72,6 +75,7 @@
             Self::NotSent => f.write_str("not sent"),
             Self::Refused(refusal) => write!(f, "refused: {refusal:?}"),
             Self::Lost => f.write_str("lost"),
+            Self::Cut => f.write_str("cut off by a silent connection"),
         }
     }
 }
@@ -105,7 +109,7 @@
         Self {
             choice: Choice::Predicted,
             hedge: Hedge::Late {
-                times: 1.0,
+                times: 0.6,
                 missing: 0.34,
             },
             hedge_share: Share::from_permille(80),
@@ -121,7 +125,7 @@
 /// The quantile of call durations after which a call counts as late. Its
 /// complement is what hedges cost while nothing is wrong; the budget is well
 /// above it, so that it is not spent when stragglers come.
-const LATE_QUANTILE: f64 = 0.985;
+const LATE_QUANTILE: f64 = 0.975;
 /// Points of failure in a row after which a back end is evicted.
 const POINTS_MAX: u32 = 9;
 /// Points of a call that was lost or could not be sent.
@@ -323,7 +327,7 @@
         state.outstanding = state.outstanding.saturating_sub(1);
         match failure {
             Failure::Refused(Refusal::Draining) => state.leaving = true,
-            Failure::Refused(Refusal::NoSnapshot | Refusal::Deadline) => {}
+            Failure::Cut | Failure::Refused(Refusal::NoSnapshot | Refusal::Deadline) => {}
             Failure::Refused(_) => state.rest = now + REFUSED_REST,
             Failure::NotSent | Failure::Lost => self.count(POINTS_LOST, ix, failure, now),
         }
--- a/crates/tier/src/ports.rs
+++ b/crates/tier/src/ports.rs
@@ -49,7 +49,12 @@
             .boxed()
         });
         Ok(Self {
-            targets: Arc::new(HttpTargets::new(config, clock, settings.route.pool)),
+            targets: Arc::new(HttpTargets::new(
+                config,
+                clock,
+                settings.route.pool,
+                settings.control.share as usize,
+            )),
             platform: Arc::new(HttpPlatform::new(&settings.platform)),
             probes: Arc::new(probes),
             peers: binder,
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -325,9 +325,9 @@
                 attempts.answer = Some(answer);
                 return attempts;
             }
-            Err(Failure::Lost) => {
+            Err(failure @ (Failure::Lost | Failure::Cut)) => {
                 attempts.ends.push(attempt.lose());
-                attempts.last = Failure::Lost;
+                attempts.last = failure;
                 return attempts;
             }
             Err(failure @ Failure::NotSent) => {
