Measure the base of the concurrency limit, and let urgent calls pass it

Cause: the base was the least window mean, learnt under overload too, and the head room a square root: at 200% load the leafs' queues held 60 ms of work. Now the base is measured every 4 s by holding back for 120 ms, a fifth of the requests at once may queue at the leafs, sheds count by their share of calls, and calls of urgency now may go beyond the limit by half of it.

--- a/crates/fake/src/experiment/sim.rs
+++ b/crates/fake/src/experiment/sim.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap, time::Duration};
 
 use chestnut_route::{
-    Action, CallId, ConnId, Context, Decision, End, Failure, Give, Order, PATIENCE, Pick, Query,
+    Action, CallId, ConnId, Context, Decision, End, Failure, Give, Order, PATIENCE, Pick, Query, Ran,
     QueryConfig, Refusal, Release, Yields,
 };
 use chestnut_unit::{IndexVersion, Reason, RequestId, ServiceName, Share, Time, Urgency};
@@ -462,7 +462,7 @@
             return;
         };
         self.count_refusal(&request, Reason::NoSnapshot);
-        self.admission_done(at, Duration::ZERO, false);
+        self.admission_done(at, Ran::default());
     }
 
     /// Passes an event to a query and does what it asks for.
@@ -551,7 +551,11 @@
             return;
         };
         let span = self.now.since(request.started.unwrap_or(self.now));
-        let shed = query.met_shed();
+        let ran = Ran {
+            span,
+            calls: query.calls() as u32,
+            sheds: query.sheds(),
+        };
         if self.counted(&request) {
             let coverage = query.coverage();
             self.outcome.ran += 1;
@@ -561,16 +565,14 @@
                 End::Partial(_) => self.outcome.short += 1,
             }
         }
-        self.admission_done(at, span, shed);
+        self.admission_done(at, ran);
     }
 
-    fn admission_done(&mut self, at: usize, span: Duration, shed: bool) {
+    fn admission_done(&mut self, at: usize, ran: Ran) {
         let mut out = Vec::new();
         let entry = &mut self.entries[at];
         let now = self.now;
-        entry
-            .admission
-            .done(span, shed, now, &mut entry.rng, &mut out);
+        entry.admission.done(ran, now, &mut entry.rng, &mut out);
         self.release(at, out);
     }
 
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -5,7 +5,7 @@
 use chestnut_unit::{Reason, RequestId, Time, Urgency};
 use rand::Rng;
 
-use crate::Limit;
+use crate::{Limit, Ran};
 
 /// Parameters of the admission to one service.
 #[derive(Clone, Copy, Debug)]
@@ -93,6 +93,8 @@
 /// After so many releases in a row that passed over less urgent requests, one
 /// of the least urgent runs, unless calls of urgency `now` wait.
 const PASSES_MAX: u32 = 15;
+/// Part of the limit by which calls of urgency `now` may go beyond it.
+const NOW_PART: u32 = 2;
 /// Weight of a new run time in the mean.
 const RUN_WEIGHT: f64 = 0.05;
 /// Shortest time after which a refused caller is asked to come back.
@@ -159,7 +161,7 @@
         rng: &mut dyn Rng,
         out: &mut Vec<Release>,
     ) -> Decision {
-        if self.running < self.limit.get() && self.queue.is_empty() {
+        if self.may_run(order.urgency) && !self.held_up(order.urgency) {
             self.running += 1;
             return Decision::Run;
         }
@@ -179,20 +181,18 @@
         Decision::Wait
     }
 
-    /// Takes the end of a request that ran for `span`, and releases what may
-    /// run now.
+    /// Takes the end of a request that ran, and releases what may run now.
     pub fn done(
         &mut self,
-        span: Duration,
-        shed: bool,
+        ran: Ran,
         now: Time,
         rng: &mut dyn Rng,
         out: &mut Vec<Release>,
     ) {
         if self.adapt == Adapt::Yes {
-            self.limit.record(span, self.running, shed, now);
+            self.limit.record(ran, self.running, now);
         }
-        let sample = span.as_secs_f64();
+        let sample = ran.span.as_secs_f64();
         self.run_mean = match self.run_mean {
             0.0 => sample,
             mean => mean + RUN_WEIGHT * (sample - mean),
@@ -241,10 +241,10 @@
 
     fn release(&mut self, now: Time, rng: &mut dyn Rng, out: &mut Vec<Release>) {
         self.expire(now, rng, out);
-        while self.running < self.limit.get() {
-            let Some(key) = self.next() else {
+        while let Some(key) = self.next() {
+            if !self.may_run(key.0) {
                 return;
-            };
+            }
             self.queue.remove(&key);
             self.running += 1;
             out.push(Release {
@@ -254,6 +254,23 @@
         }
     }
 
+    /// Whether a request of this urgency may run beside those that do. Calls
+    /// of urgency `now` may go beyond the limit by a half of it: they would
+    /// otherwise wait for a place while the rest keeps the limit full.
+    fn may_run(&self, urgency: Urgency) -> bool {
+        let limit = self.limit.get();
+        let most = match urgency {
+            Urgency::Now => limit + limit.div_ceil(NOW_PART),
+            Urgency::Normal | Urgency::Archive => limit,
+        };
+        self.running < most
+    }
+
+    /// Whether a request as urgent as this one waits already.
+    fn held_up(&self, urgency: Urgency) -> bool {
+        self.queue.keys().next().is_some_and(|first| first.0 <= urgency)
+    }
+
     /// The request that runs next. Only calls of urgency `now` can hold back
     /// the least urgent for good: those let nothing pass.
     fn next(&mut self) -> Option<Key> {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -34,7 +34,7 @@
 pub use estimate::{Estimate, Quantiles};
 pub use gauge::Gauge;
 pub use hedge::Hedge;
-pub use limit::Limit;
+pub use limit::{Limit, Ran};
 pub use orglimit::{OrgGate, OrgGates};
 pub use pool::{ConnId, PATIENCE, Pick, Pool};
 pub use query::{Action, CallId, CallKind, Context, End, Give, Query, QueryConfig};
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -4,40 +4,93 @@
 
 use chestnut_unit::Time;
 
-/// Fewest requests at once: below one nothing would be learnt.
-const LIMIT_MIN: f64 = 1.0;
+/// Fewest requests at once: below two, one straggler would stop the service.
+const LIMIT_MIN: f64 = 2.0;
 /// Most requests at once, to bound memory whatever the service does.
 const LIMIT_MAX: f64 = 4096.0;
 /// Length of a window whose run times are compared with the base.
 const WINDOW: Duration = Duration::from_millis(100);
 /// Requests that a window needs before it counts.
-const WINDOW_MIN: u32 = 8;
-/// Run time, as a multiple of the base, up to which the limit still grows.
-/// A full target takes longer than an idle one without being overloaded.
-const TOLERANCE: f64 = 1.6;
+const WINDOW_MIN: u32 = 16;
+/// Requests that may stand in the targets' queues on account of this entry,
+/// as a share of the limit. At a quarter the slots are as good as full and a
+/// request takes a third longer than alone.
+const QUEUE_SHARE: f64 = 0.2;
 /// Share of the distance to the new limit that is gone in one window.
 const STEP: f64 = 0.3;
-/// Factor on the limit for a window in which targets shed work.
+/// Share of calls shed from which the limit shrinks. Fewer only show that the
+/// choice of replicas is imperfect.
+const SHED_SHARE: f64 = 0.1;
+/// Factor on the limit for a window in which that share was shed.
 const SHED_FACTOR: f64 = 0.9;
-/// Windows after which the base may rise to the least seen since, so that a
-/// service that has become slower for good finds a new base.
-const BASE_WINDOWS: u32 = 300;
+/// Time between two measurements of the base.
+const PROBE_EVERY: Duration = Duration::from_secs(4);
+/// Length of a measurement.
+const PROBE: Duration = Duration::from_millis(120);
+/// Part of it at its start that does not count: requests that began before.
+const PROBE_SKIP: Duration = Duration::from_millis(40);
+/// Part of the limit in force while the base is measured.
+const PROBE_PART: f64 = 0.4;
+/// Weight of a new base that is higher than the old one. Measurements under a
+/// load that leaves no room are too high, and the next one is closer.
+const BASE_RISE: f64 = 0.2;
+
+#[derive(Clone, Copy, Debug)]
+enum Phase {
+    /// Serving; the next measurement starts then.
+    Cruise(Time),
+    /// Measuring since then.
+    Probe(Time),
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sample {
+    sum: f64,
+    count: u32,
+}
+
+impl Sample {
+    fn add(&mut self, span: Duration) {
+        self.sum += span.as_secs_f64();
+        self.count += 1;
+    }
+
+    fn mean(&self) -> f64 {
+        self.sum / f64::from(self.count.max(1))
+    }
+}
 
 /// A limit on concurrency that follows the service's own run times: while
-/// they stay near the base the limit grows, and when they rise it shrinks in
-/// proportion. Queues then stand at the entry, where urgency decides, and not
-/// at the targets, where nothing does.
+/// they stay near the base the limit grows, and when they rise it shrinks, so
+/// that no more than a fifth of the requests at once stand in the targets'
+/// queues. Queues then stand at the entry, where urgency decides, and not at
+/// the targets, where nothing does.
+///
+/// The base is what a request takes while the targets are not full. It is
+/// measured every few seconds by holding back for a tenth of a second; without
+/// that an entry that has only ever seen overload takes it for normal.
 #[derive(Clone, Debug)]
 pub struct Limit {
     limit: f64,
-    base: f64,
-    rising: f64,
-    windows: u32,
+    base: Option<f64>,
+    phase: Phase,
+    window: Sample,
     start: Time,
-    sum: f64,
-    count: u32,
+    probe: Sample,
     peak: u32,
-    shed: bool,
+    calls: u32,
+    sheds: u32,
+}
+
+/// What is known of a request that has ended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ran {
+    /// Time from its admission to its end.
+    pub span: Duration,
+    /// Calls that it made.
+    pub calls: u32,
+    /// Calls of it that targets shed.
+    pub sheds: u32,
 }
 
 impl Limit {
@@ -46,63 +99,83 @@
     pub fn new(initial: u32) -> Self {
         Self {
             limit: f64::from(initial).clamp(LIMIT_MIN, LIMIT_MAX),
-            base: f64::INFINITY,
-            rising: f64::INFINITY,
-            windows: 0,
+            base: None,
+            phase: Phase::Cruise(Time::ZERO + WINDOW),
+            window: Sample::default(),
             start: Time::ZERO,
-            sum: 0.0,
-            count: 0,
+            probe: Sample::default(),
             peak: 0,
-            shed: false,
+            calls: 0,
+            sheds: 0,
         }
     }
 
     /// Requests that may run at once.
     #[must_use]
     pub fn get(&self) -> u32 {
-        self.limit as u32
+        match self.phase {
+            Phase::Cruise(_) => self.limit as u32,
+            Phase::Probe(_) => (self.limit * PROBE_PART).max(1.0) as u32,
+        }
     }
 
-    /// Takes the run time of a request that ended while `running` ran.
-    pub fn record(&mut self, span: Duration, running: u32, shed: bool, now: Time) {
-        self.sum += span.as_secs_f64();
-        self.count += 1;
-        self.peak = self.peak.max(running);
-        self.shed |= shed;
-        if self.count >= WINDOW_MIN && now.since(self.start) >= WINDOW {
-            self.close_window(now);
+    /// Takes a request that ended while `running` ran.
+    pub fn record(&mut self, ran: Ran, running: u32, now: Time) {
+        self.calls += ran.calls;
+        self.sheds += ran.sheds;
+        match self.phase {
+            Phase::Probe(since) => self.measure(ran.span, since, now),
+            Phase::Cruise(next) => {
+                self.window.add(ran.span);
+                self.peak = self.peak.max(running);
+                if self.window.count >= WINDOW_MIN && now.since(self.start) >= WINDOW {
+                    self.close_window(now);
+                }
+                if now >= next {
+                    self.phase = Phase::Probe(now);
+                    self.probe = Sample::default();
+                }
+            }
+        }
+    }
+
+    fn measure(&mut self, span: Duration, since: Time, now: Time) {
+        let age = now.since(since);
+        if age >= PROBE_SKIP {
+            self.probe.add(span);
         }
+        if age < PROBE || self.probe.count == 0 {
+            return;
+        }
+        let found = self.probe.mean();
+        self.base = Some(match self.base {
+            Some(base) if found > base => base + BASE_RISE * (found - base),
+            Some(_) | None => found,
+        });
+        self.phase = Phase::Cruise(now + PROBE_EVERY);
+        self.window = Sample::default();
+        self.start = now;
     }
 
     fn close_window(&mut self, now: Time) {
-        let mean = self.sum / f64::from(self.count);
-        self.learn_base(mean);
-        let gradient = (TOLERANCE * self.base / mean).clamp(0.5, 1.0);
-        let headroom = self.limit.sqrt();
-        let mut target = self.limit * gradient;
-        if f64::from(self.peak) >= self.limit.floor() * 0.5 && !self.shed {
-            target += headroom;
+        let mean = self.window.mean();
+        let base = self.base.unwrap_or(mean);
+        let queued = self.limit * (1.0 - base / mean).max(0.0);
+        let allowed = (self.limit * QUEUE_SHARE).max(1.0);
+        let mut target = self.limit + allowed - queued;
+        let idle = f64::from(self.peak) < self.limit.floor();
+        if idle {
+            target = target.min(self.limit);
         }
         let mut next = self.limit + STEP * (target - self.limit);
-        if self.shed {
+        if f64::from(self.sheds) > SHED_SHARE * f64::from(self.calls) {
             next = next.min(self.limit * SHED_FACTOR);
         }
         self.limit = next.clamp(LIMIT_MIN, LIMIT_MAX);
         self.start = now;
-        self.sum = 0.0;
-        self.count = 0;
+        self.window = Sample::default();
         self.peak = 0;
-        self.shed = false;
-    }
-
-    fn learn_base(&mut self, mean: f64) {
-        self.base = self.base.min(mean);
-        self.rising = self.rising.min(mean);
-        self.windows += 1;
-        if self.windows >= BASE_WINDOWS {
-            self.base = self.rising;
-            self.rising = f64::INFINITY;
-            self.windows = 0;
-        }
+        self.calls = 0;
+        self.sheds = 0;
     }
 }
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -143,7 +143,7 @@
     pending: usize,
     look: Time,
     end: Option<End>,
-    shed: bool,
+    sheds: u32,
 }
 
 impl<P> Query<P> {
@@ -165,7 +165,7 @@
             ends: Vec::new(),
             look: Time::MAX,
             end: None,
-            shed: false,
+            sheds: 0,
         };
         let every: Vec<usize> = (0..query.shards.len()).collect();
         query.call(&every, CallKind::First, cx);
@@ -215,7 +215,7 @@
         if failure == Failure::Refused(Refusal::NoSnapshot) {
             cx.table.lacks(to, self.version(), cx.now);
         }
-        self.shed |= failure == Failure::Refused(Refusal::Shed);
+        self.sheds += u32::from(failure == Failure::Refused(Refusal::Shed));
         self.release(id, kind_after(failure), cx);
         self.settle(cx);
     }
@@ -253,10 +253,10 @@
         self.end
     }
 
-    /// Whether a target shed a call of this query.
+    /// Calls of this query that targets shed.
     #[must_use]
-    pub fn met_shed(&self) -> bool {
-        self.shed
+    pub fn sheds(&self) -> u32 {
+        self.sheds
     }
 
     /// Proof that no target ran any part of the query, if there is one.
--- a/crates/tier/src/gate.rs
+++ b/crates/tier/src/gate.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chestnut_route::{Decision, Order};
+use chestnut_route::{Decision, Order, Ran};
 use chestnut_unit::{Reason, RequestId, Time};
 use rand::Rng;
 use tokio::{sync::oneshot, time::sleep_until};
@@ -18,7 +18,8 @@
     shared: &'a Shared,
     service: Arc<Service>,
     start: Time,
-    pub(crate) shed: bool,
+    pub(crate) calls: u32,
+    pub(crate) sheds: u32,
 }
 
 impl Drop for Running<'_> {
@@ -27,10 +28,12 @@
         let mut rng = self.shared.rng();
         let mut out = Vec::new();
         let mut state = lock(&self.service.state);
-        let span = now.since(self.start);
-        state
-            .admission
-            .done(span, self.shed, now, &mut rng, &mut out);
+        let ran = Ran {
+            span: now.since(self.start),
+            calls: self.calls,
+            sheds: self.sheds,
+        };
+        state.admission.done(ran, now, &mut rng, &mut out);
         state.deliver(out, now, &mut rng);
     }
 }
@@ -70,7 +73,8 @@
             shared,
             service: service.clone(),
             start: shared.now(),
-            shed: false,
+            calls: 0,
+            sheds: 0,
         }),
         Decision::Refuse { reason, after } => Err((reason, after)),
         Decision::Wait => unreachable!("a waiting request is told to run or refused"),
--- a/crates/tier/src/query.rs
+++ b/crates/tier/src/query.rs
@@ -241,7 +241,8 @@
             break;
         };
         let query = fanout::run(shared, service, asked.clone(), routes, None, config).await;
-        running.shed |= query.met_shed();
+        running.calls += query.calls() as u32;
+        running.sheds += query.sheds();
         let lost = query.end() == Some(End::Partial(Give::SnapshotLost));
         let better = best
             .as_ref()
