Remember a slow leaf for half a minute instead of five seconds

Cause: ten leafs that each entry tries again every few seconds are 1% of the queries, which is the 99th percentile.

--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -15,7 +15,7 @@
 /// Time in which the difference from the typical leaf falls to a third while
 /// a leaf gets no calls. Without it a leaf that was slow once would never be
 /// tried again.
-const FORGET: Duration = Duration::from_secs(5);
+const FORGET: Duration = Duration::from_secs(30);
 
 /// Expected time of one call to one back end.
 #[derive(Clone, Debug, Default)]
