Look only at the calls of an answered shard for ones to cancel

Cause: after every answer all calls of the query were looked at, and all shards for hopeless ones: the square of the fan-out (cargo bench -p chestnut-route).

--- /dev/null
+++ b/crates/route/benches/query.rs
@@ -0,0 +1,77 @@
+//! Processor time of one fan-out, by its size: `cargo bench -p chestnut-route`.
+
+use std::{hint::black_box, sync::Arc, time::Duration};
+
+use chestnut_route::{
+    Action, Backend, Context, Ix, Query, QueryConfig, Route, Routes, Table, TableConfig,
+};
+use chestnut_unit::{IndexVersion, LeafId, ServiceName, ShardName, Share, Snapshot, Time};
+use criterion::{BenchmarkId, Criterion, Throughput, criterion_group, criterion_main};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+const REPLICAS: usize = 3;
+
+fn routes(table: &mut Table, shards: usize) -> Arc<Routes> {
+    let mut leaf = |n: usize| -> Ix {
+        let id = LeafId::new(format!("l{n}")).expect("a legal name");
+        table.add(Backend::Leaf(id), 5, Time::ZERO)
+    };
+    let shards = (0..shards)
+        .map(|s| Route {
+            name: ShardName::new(format!("s{s}")).expect("a legal name"),
+            replicas: (0..REPLICAS).map(|r| leaf(s * REPLICAS + r)).collect(),
+        })
+        .collect();
+    Arc::new(Routes {
+        snapshot: Snapshot {
+            service: ServiceName::new("ladder").expect("a legal name"),
+            version: IndexVersion(1),
+        },
+        shards,
+    })
+}
+
+/// One query from start to merge, every call answered in order.
+fn run(table: &mut Table, routes: &Arc<Routes>, rng: &mut ChaCha8Rng) -> usize {
+    let mut out = Vec::new();
+    let start = Time::from_millis(10);
+    let config = QueryConfig {
+        deadline: Time::from_millis(1000),
+        least: Share::WHOLE,
+    };
+    let mut cx = Context {
+        table,
+        now: start,
+        rng,
+        out: &mut out,
+    };
+    let mut query: Query<()> = Query::start(routes.clone(), None, config, &mut cx);
+    let calls: Vec<Action> = std::mem::take(cx.out);
+    cx.now = start + Duration::from_millis(5);
+    for action in calls {
+        if let Action::Call { call, shards, .. } = action {
+            let parts = shards.into_iter().map(|shard| (shard, ())).collect();
+            query.answer(call, IndexVersion(1), parts, &mut cx);
+        }
+    }
+    query.coverage().answered
+}
+
+fn fan_out(c: &mut Criterion) {
+    let mut group = c.benchmark_group("fan_out");
+    group.warm_up_time(Duration::from_millis(300));
+    group.measurement_time(Duration::from_secs(1));
+    for size in [30, 100, 300, 810] {
+        let mut table = Table::new(TableConfig::default());
+        let routes = routes(&mut table, size);
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        group.throughput(Throughput::Elements(size as u64));
+        group.bench_with_input(BenchmarkId::from_parameter(size), &size, |b, _| {
+            b.iter(|| black_box(run(&mut table, &routes, &mut rng)));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, fan_out);
+criterion_main!(benches);
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -109,6 +109,8 @@
     part: Option<P>,
     tried: Vec<Ix>,
     live: u32,
+    /// Calls that asked for it.
+    calls: Vec<CallId>,
     due: Time,
     /// When a shard that every replica shed is tried again.
     again: Option<Time>,
@@ -151,6 +153,8 @@
     look: Time,
     end: Option<End>,
     sheds: u32,
+    /// Whether some shard may have no call under way and none to come.
+    stuck: bool,
 }
 
 impl<P> Query<P> {
@@ -173,6 +177,7 @@
             look: Time::MAX,
             end: None,
             sheds: 0,
+            stuck: true,
         };
         let every: Vec<usize> = (0..query.shards.len()).collect();
         query.call(&every, CallKind::First, cx);
@@ -351,10 +356,13 @@
                 orphans.push(*position);
             }
         }
+        for position in &shards {
+            self.cancel_useless(*position, cx);
+        }
         self.calls[id.0 as usize].shards = shards;
-        self.cancel_useless(cx);
         if !orphans.is_empty() && self.end.is_none() {
             self.retry(&orphans, again, cx);
+            self.stuck = true;
         }
     }
 
@@ -398,6 +406,7 @@
             self.shards[*position].rested = true;
         }
         self.call(&rested, CallKind::Reshed, cx);
+        self.stuck = true;
         self.settle(cx);
     }
 
@@ -485,6 +494,7 @@
             let shard = &mut self.shards[*position];
             shard.tried.push(to);
             shard.live += 1;
+            shard.calls.push(id);
             shard.due = due;
         }
         cx.table.sent(to);
@@ -502,14 +512,19 @@
         });
     }
 
-    /// Cancels calls of which every shard has its part.
-    fn cancel_useless(&mut self, cx: &mut Context<'_>) {
-        for number in 0..self.calls.len() {
-            let call = &self.calls[number];
+    /// Cancels the calls for a shard that has its part, if all their shards
+    /// have. Only calls that asked for this shard are looked at: looking at all
+    /// of them after every answer costs the square of the fan-out.
+    fn cancel_useless(&mut self, position: usize, cx: &mut Context<'_>) {
+        if self.shards[position].part.is_none() || self.shards[position].live == 0 {
+            return;
+        }
+        for id in self.shards[position].calls.clone() {
+            let call = &self.calls[id.0 as usize];
             let live = matches!(call.life, Life::Live(_));
             let wanted = |p: &usize| self.shards[*p].part.is_none();
             if live && !call.shards.iter().any(wanted) {
-                self.cancel(CallId(number as u32), cx);
+                self.cancel(id, cx);
             }
         }
     }
@@ -536,10 +551,14 @@
             self.finish(End::Whole, cx);
             return;
         }
+        if !self.stuck {
+            return;
+        }
         let hopeless: Vec<usize> = (0..self.shards.len())
             .filter(|p| self.shards[*p].is_hopeless())
             .collect();
         if hopeless.is_empty() {
+            self.stuck = false;
             return;
         }
         let reachable = self.shards.len() - hopeless.len();
@@ -591,6 +610,7 @@
             part: None,
             tried: Vec::new(),
             live: 0,
+            calls: Vec::new(),
             due: Time::MAX,
             again: None,
             rested: false,
