Add scripted scenarios: whole entries over fakes at the ports, in virtual time

Cause: the eight things that must hold were shown over processes for some failures only, and not with the same verdict each time. It now confirms up to the end of its wait, waits 4 s at most, and a template must allow at least 10 s. - cut-off, parted-halves: two halves that had given each other up never met again, since neither heard that it was held for gone. What is held against a member now goes with each message to it, and it refutes.

--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -66,7 +66,8 @@
     /// Bound on one call, the waiting of a watch apart.
     #[serde(with = "span", default = "platform_timeout")]
     pub timeout: Duration,
-    /// How long one watch call waits for a change.
+    /// How long one watch call waits for a change. Settings are confirmed each
+    /// time one returns, so their age stays below twice this.
     #[serde(with = "span", default = "platform_watch")]
     pub watch: Duration,
 }
@@ -76,7 +77,7 @@
 }
 
 fn platform_watch() -> Duration {
-    Duration::from_secs(20)
+    Duration::from_secs(4)
 }
 
 /// Limits towards callers.
@@ -275,6 +276,10 @@
             let problem = format!("{} is not within control.share", self.route.pool);
             return fail("route.pool", problem, "Write 1 up to control.share.");
         }
+        if self.platform.watch < MIN_WATCH || self.platform.watch > MAX_WATCH {
+            let problem = format!("{:?} is out of range", self.platform.watch);
+            return fail("platform.watch", problem, "Write a span from 1s to 4s.");
+        }
         if self.control.ttl.is_zero() {
             let problem = "0 would make callers ask before each call".to_owned();
             return fail("control.ttl", problem, "Write a span such as 5s.");
@@ -287,5 +292,9 @@
 const MAX_BODY: u64 = 16 << 20;
 /// Shortest probe interval: below it probes alone pass the control budget.
 const MIN_PROBE: Duration = Duration::from_millis(50);
+/// Shortest watch: each return is a read of the platform.
+const MIN_WATCH: Duration = Duration::from_secs(1);
+/// Longest watch: templates may ask for settings confirmed ten seconds ago.
+const MAX_WATCH: Duration = Duration::from_secs(4);
 /// Longest probe interval: above it a death is not known within seconds.
 const MAX_PROBE: Duration = Duration::from_secs(10);
--- a/crates/conf/src/template.rs
+++ b/crates/conf/src/template.rs
@@ -11,6 +11,9 @@
 const DEADLINE_MIN: Duration = Duration::from_millis(1);
 /// Longest deadline that a call type may have by default.
 const DEADLINE_MAX: Duration = Duration::from_secs(600);
+/// Shortest span of serving on unconfirmed settings. Below it entries would
+/// refuse between two confirmations while nothing is wrong.
+const UNCONFIRMED_MIN: Duration = Duration::from_secs(10);
 /// The reasons that a template may permit or withhold. All others state facts.
 const OPTIONAL_REASONS: [Reason; 2] = [Reason::OrgLimit, Reason::Overload];
 
@@ -106,6 +109,10 @@
         if self.calls.is_empty() {
             return Err(CheckError::new("calls", "list at least one call type"));
         }
+        if self.unconfirmed < UNCONFIRMED_MIN {
+            let problem = "must be at least 10s: settings are confirmed every few seconds";
+            return Err(CheckError::new("unconfirmed", problem));
+        }
         for (name, call) in &self.calls {
             self.check_call(name, call)?;
         }
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -23,4 +23,4 @@
 pub use plot::{Series, plot_lines};
 pub use store::{Counts, PlatformFault, Store};
 pub use target::{TargetConfig, TargetLedger, TargetServer};
-pub use world::{EntrySpec, LeafSpec, ServiceSpec, World, WorldError};
+pub use world::{EntrySpec, LeafSpec, ServiceSpec, World, WorldError, layout_of};
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -94,6 +94,22 @@
         Ok(version)
     }
 
+    /// Writes an object as the platform itself does, whatever its faults.
+    pub fn write(&mut self, key: ObjectKey, value: serde_json::Value) {
+        let version = self.peek(&key).map_or(0, |object| object.version) + 1;
+        self.history.push(Object {
+            key,
+            version,
+            value,
+        });
+    }
+
+    /// The newest state of an object, whatever the faults.
+    #[must_use]
+    pub fn peek(&self, key: &ObjectKey) -> Option<Object> {
+        self.latest(key, self.revision()).cloned()
+    }
+
     /// Reads one object.
     ///
     /// # Errors
--- a/crates/fake/src/world.rs
+++ b/crates/fake/src/world.rs
@@ -232,7 +232,7 @@
 
 /// The layout of `shards` shards of a service for an index version.
 #[must_use]
-pub(crate) fn layout_of(spec: &ServiceSpec, version: IndexVersion, shards: u32) -> Layout {
+pub fn layout_of(spec: &ServiceSpec, version: IndexVersion, shards: u32) -> Layout {
     let shard = |s: u32| LayoutShard {
         name: ShardName::new(format!("{}-s{s:03}", spec.name)).expect("a legal name"),
         leafs: (0..spec.replicas)
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -258,7 +258,8 @@
         self.loads.insert(probe.from.id.clone(), probe.load);
         match &probe.kind {
             ProbeKind::Ping => {
-                let ack = self.message(ProbeKind::Ack, probe.seq, status);
+                let mut ack = self.message(ProbeKind::Ack, probe.seq, status);
+                self.tell_it(&probe.from.id, &mut ack);
                 out.push(Send {
                     to: from,
                     probe: ack,
@@ -299,7 +300,8 @@
         let Some((id, to)) = target else {
             return;
         };
-        let probe = self.message(ProbeKind::Ping, self.seq, status);
+        let mut probe = self.message(ProbeKind::Ping, self.seq, status);
+        self.tell_it(&id, &mut probe);
         out.push(Send { to, probe });
         let pending = Pending {
             target: id,
@@ -309,6 +311,18 @@
         self.pending.insert(self.seq, pending);
     }
 
+    /// Adds to a message what is held against the member that it goes to. Only
+    /// that member can refute it, and news of it has long stopped travelling
+    /// when two halves of a split meet again.
+    fn tell_it(&self, to: &MemberId, probe: &mut Probe) {
+        let held = self.view.get(to).filter(|m| m.liveness != Liveness::Alive);
+        if let Some(member) = held
+            && !probe.news.iter().any(|said| said.id == *to)
+        {
+            probe.news.push(member.clone());
+        }
+    }
+
     /// The next member of a shuffled round, so that each is probed once in
     /// every round and the time to notice a death is bounded.
     fn next_target(&mut self, rng: &mut dyn Rng) -> Option<(MemberId, SocketAddr)> {
--- a/crates/port/src/clock.rs
+++ b/crates/port/src/clock.rs
@@ -5,19 +5,29 @@
 use chestnut_unit::{Time, Wall};
 use tokio::time::Instant;
 
-/// Monotonic time since the clock was made, and wall time. The monotonic part
-/// follows the runtime's clock, so a paused runtime pauses it.
+/// Monotonic time since the clock was made, and wall time. Both follow the
+/// runtime's clock, so a paused runtime pauses them, and a step of the
+/// system's clock while the process runs changes neither.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     start: Instant,
+    wall: Wall,
 }
 
 impl Clock {
-    /// A clock that starts now.
+    /// A clock that starts now, at the system's wall time.
     #[must_use]
     pub fn start() -> Self {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        Self::start_at(Wall(since.map_or(0, |span| span.as_millis() as u64)))
+    }
+
+    /// A clock that starts now, at a wall time of one's own, for tests.
+    #[must_use]
+    pub fn start_at(wall: Wall) -> Self {
         Self {
             start: Instant::now(),
+            wall,
         }
     }
 
@@ -30,8 +40,7 @@
     /// The present wall time.
     #[must_use]
     pub fn wall(&self) -> Wall {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        Wall(since.map_or(0, |span| span.as_millis() as u64))
+        self.wall + self.start.elapsed()
     }
 
     /// The runtime's form of a time.
--- /dev/null
+++ b/crates/scene/src/parse.rs
@@ -0,0 +1,128 @@
+//! Lines of a scenario, split into words.
+
+use std::{collections::BTreeMap, str::FromStr, time::Duration};
+
+use chestnut_unit::parse_span;
+use nom::{
+    IResult, Parser,
+    branch::alt,
+    bytes::complete::{tag, take_while1},
+    character::complete::{space0, space1},
+    combinator::{all_consuming, map, opt, rest},
+    multi::separated_list0,
+    sequence::{preceded, separated_pair, terminated},
+};
+
+/// A word of a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Word {
+    Bare(String),
+    Pair(String, String),
+}
+
+/// The words of a line: bare ones in order, and those of the form `key=value`.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Words {
+    bare: Vec<String>,
+    pairs: BTreeMap<String, String>,
+    next: usize,
+}
+
+fn text(input: &str) -> IResult<&str, &str> {
+    take_while1(|c: char| !c.is_whitespace() && c != '=' && c != '#').parse(input)
+}
+
+fn word(input: &str) -> IResult<&str, Word> {
+    let pair = separated_pair(text, tag("="), text);
+    alt((
+        map(pair, |(key, value): (&str, &str)| {
+            Word::Pair(key.to_owned(), value.to_owned())
+        }),
+        map(text, |bare: &str| Word::Bare(bare.to_owned())),
+    ))
+    .parse(input)
+}
+
+fn line(input: &str) -> IResult<&str, Vec<Word>> {
+    let comment = opt(preceded(tag("#"), rest));
+    let words = separated_list0(space1, word);
+    all_consuming(terminated(preceded(space0, words), (space0, comment))).parse(input)
+}
+
+/// Splits a line into words. A `#` starts a comment.
+pub(crate) fn words(input: &str) -> Result<Words, String> {
+    let (_, list) = line(input).map_err(|e| format!("can't be read: {e}"))?;
+    let mut words = Words::default();
+    for word in list {
+        match word {
+            Word::Bare(text) => words.bare.push(text),
+            Word::Pair(key, value) => {
+                words.pairs.insert(key, value);
+            }
+        }
+    }
+    Ok(words)
+}
+
+impl Words {
+    pub(crate) fn is_empty(&self) -> bool {
+        self.bare.is_empty() && self.pairs.is_empty()
+    }
+
+    /// The next bare word.
+    pub(crate) fn next(&mut self, what: &str) -> Result<String, String> {
+        let word = self.bare.get(self.next).cloned();
+        self.next += 1;
+        word.ok_or_else(|| format!("{what} is missing"))
+    }
+
+    /// The next bare word, parsed.
+    pub(crate) fn parse<T: FromStr>(&mut self, what: &str) -> Result<T, String> {
+        let word = self.next(what)?;
+        word.parse().map_err(|_| format!("{word:?} is not {what}"))
+    }
+
+    /// The next bare word, as a span of time.
+    pub(crate) fn span(&mut self, what: &str) -> Result<Duration, String> {
+        parse_span(&self.next(what)?).map_err(|e| e.to_string())
+    }
+
+    /// Whether the next bare word is `word`; it is passed over if so.
+    pub(crate) fn take(&mut self, word: &str) -> bool {
+        let here = self.bare.get(self.next).is_some_and(|w| w == word);
+        self.next += usize::from(here);
+        here
+    }
+
+    /// The value of a key, if it is given.
+    pub(crate) fn pair(&mut self, key: &str) -> Option<String> {
+        self.pairs.remove(key)
+    }
+
+    /// The parsed value of a key, or `default`.
+    pub(crate) fn pair_or<T: FromStr>(&mut self, key: &str, default: T) -> Result<T, String> {
+        match self.pair(key) {
+            None => Ok(default),
+            Some(value) => value
+                .parse()
+                .map_err(|_| format!("{key}={value} can't be read")),
+        }
+    }
+
+    /// The value of a key as a span of time, or `default`.
+    pub(crate) fn span_or(&mut self, key: &str, default: Duration) -> Result<Duration, String> {
+        self.pair(key)
+            .map_or(Ok(default), |v| parse_span(&v).map_err(|e| e.to_string()))
+    }
+
+    /// Checks that nothing is left.
+    pub(crate) fn done(&self) -> Result<(), String> {
+        if let Some(word) = self.bare.get(self.next) {
+            return Err(format!("{word:?} is not expected here"));
+        }
+        match self.pairs.keys().next() {
+            Some(key) => Err(format!("{key}= is not expected here")),
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/scene/src/run.rs
@@ -0,0 +1,359 @@
+//! Runs a scenario.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chestnut_conf::{Kind, ObjectKey};
+use chestnut_tier::EditError;
+use chestnut_unit::Run;
+use slog::Logger;
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    command::{Command, Scenario, Want},
+    judge::{Told, Verdict},
+    stage::{ORG, Stage, organisation},
+};
+
+/// Time that entries are given to find each other at the start.
+const SETTLE: Duration = Duration::from_secs(6);
+/// Longest wait for something that is expected to come about.
+const WITHIN: Duration = Duration::from_secs(2);
+/// Time between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+struct Runner {
+    stage: Stage,
+    start: Instant,
+    tickets: BTreeMap<String, String>,
+    loads: JoinSet<Result<(), String>>,
+    edits: u32,
+}
+
+/// Runs the text of a scenario on a paused clock.
+///
+/// # Errors
+///
+/// The text can't be read, an expectation did not hold, or one of the things
+/// that must always hold did not.
+pub async fn run_text(text: &str, log: Logger) -> Result<Verdict, String> {
+    let scenario = Scenario::parse(text).map_err(|e| e.to_string())?;
+    let mut stage = Stage::set(scenario.setup.clone(), log);
+    for number in 0..scenario.setup.entries {
+        stage.start(number).await.map_err(|e| e.to_string())?;
+    }
+    sleep(SETTLE).await;
+    let mut runner = Runner {
+        stage,
+        start: Instant::now(),
+        tickets: BTreeMap::new(),
+        loads: JoinSet::new(),
+        edits: 0,
+    };
+    for (line, command) in scenario.commands {
+        let done = runner.run(command).await;
+        done.map_err(|problem| format!("line {line}: {problem}"))?;
+        runner.look();
+    }
+    runner.join().await?;
+    let verdict = runner.stage.finish();
+    match verdict.wrong.first() {
+        None => Ok(verdict),
+        Some(first) => Err(format!("{} wrong, the first: {first}", verdict.wrong.len())),
+    }
+}
+
+impl Runner {
+    async fn run(&mut self, command: Command) -> Result<(), String> {
+        match command {
+            Command::At(at) => sleep_until(self.start + at).await,
+            Command::Wait(span) => sleep(span).await,
+            Command::Start(number) => {
+                self.stage.start(number).await.map_err(|e| e.to_string())?;
+            }
+            Command::Kill(number) => self.stage.kill(number),
+            Command::Stop(number) => self.stage.stop(number).await,
+            Command::Freeze(number, span) => self.stage.freeze(number, span),
+            Command::Cut(a, b) => self.stage.cut(a, b, true),
+            Command::Heal(a, b) => self.stage.cut(a, b, false),
+            Command::CutPlatform(entry) => self.stage.cut_platform(entry, true),
+            Command::HealPlatform(entry) => self.stage.cut_platform(entry, false),
+            Command::Platform(change) => self.stage.change_platform(&change),
+            Command::Leaf(number, fault) => self.stage.change_leaf(number, &fault)?,
+            Command::Repartition(version, shift) => self.stage.repartition(version, shift),
+            Command::DropVersion(version) => self.stage.drop_version(version),
+            Command::Edit {
+                entry,
+                rate,
+                expected,
+                want,
+            } => self.edit(entry, rate, expected, &want).await?,
+            Command::Race(a, b) => self.race(a, b).await?,
+            Command::Query {
+                entry,
+                call,
+                times,
+                want,
+            } => self.query(entry, &call, times, &want).await?,
+            Command::Load {
+                entries,
+                every,
+                span,
+                want,
+            } => self.load(entries, every, span, want),
+            Command::Join => self.join().await?,
+            Command::Ticket(name, entry) => self.ticket(name, entry)?,
+            Command::Submit {
+                ticket,
+                entry,
+                body,
+                want,
+                later,
+            } => self.submit(&ticket, entry, &body, want, later).await?,
+            Command::Applied(body, times, most) => self.applied(&body, times, most)?,
+            Command::InForce(version, entries) => self.in_force(version, &entries).await?,
+            Command::Members(entry, count) => self.members(entry, count).await?,
+        }
+        Ok(())
+    }
+
+    /// Notes which versions are in force; none may have gone back.
+    fn look(&self) {
+        for number in self.stage.entries.keys() {
+            self.stage.version_at(*number);
+        }
+    }
+
+    fn entry(&self, number: usize) -> Result<&crate::stage::Running, String> {
+        let running = self.stage.entries.get(&number);
+        running.ok_or_else(|| format!("entry {number} does not run"))
+    }
+
+    async fn edit(
+        &mut self,
+        entry: usize,
+        rate: u64,
+        expected: Option<u64>,
+        want: &str,
+    ) -> Result<(), String> {
+        self.edits += 1;
+        let id = format!("edit-{}", self.edits);
+        let tier = self.entry(entry)?.tier.clone();
+        let done = put(&tier, rate, expected, id).await;
+        let word = match &done {
+            Ok(_) => "accepted",
+            Err(EditError::Conflict { .. }) => "conflict",
+            Err(EditError::Outage) => "outage",
+            Err(EditError::Unsettled { .. }) => "unsettled",
+            Err(EditError::Check(_)) => "wrong",
+        };
+        if want != "any" && want != word {
+            return Err(format!("the edit was to be {want} and is {done:?}"));
+        }
+        Ok(())
+    }
+
+    async fn race(&mut self, a: usize, b: usize) -> Result<(), String> {
+        let version = self.stage.version_at(a);
+        let (first, second) = (self.entry(a)?.tier.clone(), self.entry(b)?.tier.clone());
+        self.edits += 2;
+        let (x, y) = (self.edits - 1, self.edits);
+        let (one, other) = tokio::join!(
+            put(
+                &first,
+                1000 + u64::from(x),
+                Some(version),
+                format!("edit-{x}")
+            ),
+            put(
+                &second,
+                1000 + u64::from(y),
+                Some(version),
+                format!("edit-{y}")
+            ),
+        );
+        match (one.is_ok(), other.is_ok()) {
+            (true, false) | (false, true) => Ok(()),
+            _ => Err(format!("one edit was to win: {one:?} and {other:?}")),
+        }
+    }
+
+    async fn query(
+        &mut self,
+        entry: usize,
+        call: &str,
+        times: u32,
+        want: &Want,
+    ) -> Result<(), String> {
+        for _ in 0..times {
+            let (number, ask) = self.stage.query(call);
+            let running = self.entry(entry)?;
+            let (tier, life) = (running.tier.clone(), running.life.clone());
+            let verdict = self.stage.verdict.clone();
+            let told = Stage::ask(tier, life, verdict, number, ask).await;
+            meets(&told, want)?;
+        }
+        Ok(())
+    }
+
+    fn load(&mut self, entries: Vec<usize>, every: Duration, span: Duration, want: Want) {
+        let start = Instant::now();
+        let mut due = start;
+        let mut turn = 0;
+        while due < start + span {
+            let entry = entries[turn % entries.len()];
+            turn += 1;
+            let (number, ask) = self.stage.query("finals");
+            if let Some(running) = self.stage.entries.get(&entry) {
+                let (tier, life) = (running.tier.clone(), running.life.clone());
+                let (verdict, want) = (self.stage.verdict.clone(), want.clone());
+                self.loads.spawn(async move {
+                    sleep_until(due).await;
+                    let told = Stage::ask(tier, life, verdict, number, ask).await;
+                    meets(&told, &want)
+                });
+            }
+            due += every;
+        }
+    }
+
+    /// Waits for all loads. Requests at entries that were killed never end;
+    /// their callers see a broken connection, which is no answer to judge.
+    async fn join(&mut self) -> Result<(), String> {
+        /// Beyond any deadline of a scenario.
+        const LONGEST: Duration = Duration::from_secs(120);
+        let until = Instant::now() + LONGEST;
+        while !self.loads.is_empty() {
+            match tokio::time::timeout_at(until, self.loads.join_next()).await {
+                Ok(Some(Ok(done))) => done?,
+                Ok(Some(Err(error))) => return Err(error.to_string()),
+                Ok(None) => break,
+                Err(_) => {
+                    self.loads.abort_all();
+                    while self.loads.join_next().await.is_some() {}
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn ticket(&mut self, name: String, entry: usize) -> Result<(), String> {
+        let minted = self.entry(entry)?.tier.ticket();
+        let reply = minted.map_err(|refused| format!("no ticket: {}", refused.reason))?;
+        self.tickets.insert(name, reply.ticket.to_string());
+        Ok(())
+    }
+
+    async fn submit(
+        &mut self,
+        ticket: &str,
+        entry: usize,
+        body: &str,
+        want: String,
+        later: bool,
+    ) -> Result<(), String> {
+        let text = self.tickets.get(ticket).ok_or("there is no such ticket")?;
+        let ask = self.stage.submission(Some(text), body);
+        let running = self.entry(entry)?;
+        let (tier, life) = (running.tier.clone(), running.life.clone());
+        let run = async move {
+            life.gate().await;
+            let word = match tier.submit(ask).await {
+                Ok(_) => "done",
+                Err(refused) if refused.run == Run::NotRun => "not_run",
+                Err(_) => "unknown",
+            };
+            life.gate().await;
+            if want != "any" && want != word {
+                return Err(format!("the submission was to be {want} and is {word}"));
+            }
+            Ok(())
+        };
+        if later {
+            self.loads.spawn(run);
+            return Ok(());
+        }
+        run.await
+    }
+
+    fn applied(&self, body: &str, times: u64, most: bool) -> Result<(), String> {
+        let found = self.stage.applied(body);
+        if found == times || (most && found < times) {
+            return Ok(());
+        }
+        Err(format!("{body} took effect {found} times"))
+    }
+
+    async fn in_force(&self, version: u64, entries: &[usize]) -> Result<(), String> {
+        let until = Instant::now() + WITHIN;
+        loop {
+            let late: Vec<usize> = entries
+                .iter()
+                .copied()
+                .filter(|entry| self.stage.version_at(*entry) != version)
+                .collect();
+            if late.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                let at: Vec<u64> = entries.iter().map(|e| self.stage.version_at(*e)).collect();
+                return Err(format!("version {version} is not in force: {at:?}"));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    async fn members(&self, entry: usize, count: usize) -> Result<(), String> {
+        /// Time in which a death or a return must be known.
+        const KNOWN: Duration = Duration::from_secs(10);
+        let until = Instant::now() + KNOWN;
+        loop {
+            let list = self.entry(entry)?.tier.entries(None).entries;
+            if list.len() == count {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                let own = self.stage.member(entry);
+                return Err(format!("{own} knows {} entries, not {count}", list.len()));
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
+
+async fn put(
+    tier: &chestnut_tier::Tier,
+    rate: u64,
+    expected: Option<u64>,
+    id: String,
+) -> Result<chestnut_tier::EditReply, EditError> {
+    let key = ObjectKey {
+        kind: Kind::Organisation,
+        name: ORG.to_owned(),
+    };
+    tier.edit(key, organisation(rate), expected, id).await
+}
+
+fn meets(told: &Told, want: &Want) -> Result<(), String> {
+    match (told, want) {
+        (_, Want::Any) => Ok(()),
+        (Told::Answer(answer), Want::Complete) if answer.coverage.is_complete() => Ok(()),
+        (Told::Answer(answer), Want::Partial) if !answer.coverage.is_complete() => Ok(()),
+        (Told::Refused(refused), Want::Refused(reason)) => {
+            let code = refused.reason.as_str();
+            match reason {
+                Some(reason) if reason != code => Err(format!("refused for {code}: {refused:?}")),
+                _ => Ok(()),
+            }
+        }
+        (Told::Answer(answer), _) => Err(format!("{want:?} was expected: {:?}", answer.coverage)),
+        (Told::Refused(refused), _) => {
+            let (reason, detail) = (refused.reason, &refused.detail);
+            Err(format!(
+                "{want:?} was expected: refused for {reason}, {detail}"
+            ))
+        }
+    }
+}
--- /dev/null
+++ b/crates/scene/tests/scenarios.rs
@@ -0,0 +1,28 @@
+//! Every scenario of `tests/scenarios`, in virtual time.
+
+use std::path::PathBuf;
+
+use chestnut_fake::demo::no_log;
+use chestnut_scene::run_text;
+use rstest::rstest;
+use slog::{Drain, Logger, o};
+
+/// Logs to standard error when `CHESTNUT_LOG` is set, to look into a failure.
+fn log() -> Logger {
+    if std::env::var_os("CHESTNUT_LOG").is_none() {
+        return no_log();
+    }
+    let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+    let drain = std::sync::Mutex::new(slog_term::CompactFormat::new(decorator).build());
+    let drain = drain.fuse();
+    Logger::root(drain, o!())
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn scenario(#[files("../../tests/scenarios/*.scn")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let verdict = run_text(&text, log()).await;
+    let verdict = verdict.unwrap_or_else(|e| panic!("{}: {e}", path.display()));
+    assert!(verdict.answers + verdict.refusals > 0 || text.contains("submit"));
+}
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use chestnut_conf::Settings;
+use chestnut_conf::{ObjectKey, Settings};
 use chestnut_fleet::{Addresses, Heir, Liveness, Member};
 use chestnut_port::Clock;
 use chestnut_unit::{DomainName, Incarnation, MemberId};
@@ -17,8 +17,13 @@
 };
 
 use crate::{
-    api::{Answer, EntryList, QueryRequest, Refused, SubmitOutcome, SubmitRequest, TicketReply},
-    boot, gossip, leafs,
+    api::{
+        Answer, EditError, EditReply, EntryList, QueryRequest, Refused, SubmitOutcome,
+        SubmitRequest, TicketReply,
+    },
+    boot,
+    edit::{self, EditRequest},
+    gossip, leafs,
     peers::Served,
     place,
     ports::Ports,
@@ -165,6 +170,29 @@
         }
     }
 
+    /// Makes an edit of a template or organisation. Repeating `id` repeats the
+    /// edit and never doubles it.
+    ///
+    /// # Errors
+    ///
+    /// The edit is wrong, came second, or could not be settled.
+    pub async fn edit(
+        &self,
+        key: ObjectKey,
+        spec: serde_json::Value,
+        expected: Option<u64>,
+        id: String,
+    ) -> Result<EditReply, EditError> {
+        let ask = EditRequest {
+            key,
+            expected,
+            spec,
+            id,
+            by: String::new(),
+        };
+        edit::put(&self.shared, ask).await
+    }
+
     /// Waits until an operator asks this entry to leave.
     pub async fn drain_asked(&self) {
         self.shared.drain.notified().await;
--- a/crates/tier/src/watch.rs
+++ b/crates/tier/src/watch.rs
@@ -5,6 +5,7 @@
 use chestnut_conf::Kind;
 use chestnut_fleet::watchers_of;
 use chestnut_port::PlatformError;
+use chestnut_unit::Time;
 use slog::{info, warn};
 use tokio::time::sleep;
 
@@ -77,8 +78,9 @@
         match shared.platform.watch(kind, revision, wait).await {
             Ok(changes) => {
                 revision = changes.revision;
+                let true_at = true_at(asked, shared.now(), wait, changes.objects.is_empty());
                 spread::take(&shared, changes.objects, "the platform");
-                lock(&shared.conf).note_read(kind, revision, asked);
+                lock(&shared.conf).note_read(kind, revision, true_at);
             }
             Err(PlatformError::Unavailable) => return,
             Err(error) => {
@@ -89,6 +91,16 @@
     }
 }
 
+/// Up to when a watch tells that it has told all: the platform held an empty
+/// answer back for the whole wait, so nothing had changed when that was over.
+fn true_at(asked: Time, now: Time, wait: Duration, empty: bool) -> Time {
+    if empty && now.since(asked) >= wait {
+        asked + wait
+    } else {
+        asked
+    }
+}
+
 async fn read_vms(shared: &Arc<Shared>) {
     loop {
         boot::read_vms(shared).await;
