Test the decisions against naive versions, and let archive queries have their turn

Cause: the turn of the least urgent after fifteen passes was used up by a look that found no place to run, so archive queries starved behind normal ones for as long as those kept the queue full.

--- /dev/null
+++ b/crates/audit/tests/records.rs
@@ -0,0 +1,120 @@
+//! Receipts tell the truth or nothing; journals lose nothing unnoticed.
+
+use std::time::Duration;
+
+use chestnut_audit::{CheckKey, Journal, JournalConfig, Receipt, Record};
+use chestnut_unit::{
+    CallType, Incarnation, MemberId, OrgName, Reason, RequestId, Run, ServiceName, Time, Wall,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn receipt() -> impl Strategy<Value = Receipt> {
+    let reason = prop::sample::select(Reason::ALL.to_vec());
+    let run = prop::sample::select(vec![Run::NotRun, Run::Unknown, Run::Partial]);
+    let named = any::<bool>();
+    (any::<[u64; 4]>(), reason, run, named).prop_map(|(numbers, reason, run, named)| Receipt {
+        entry: MemberId::new("dub-a-1").unwrap(),
+        request: RequestId(numbers[0]),
+        at: Wall(numbers[1]),
+        reason,
+        run,
+        org_version: numbers[2],
+        template_version: numbers[3],
+        organisation: named.then(|| OrgName::new("galway").unwrap()),
+        service: named.then(|| ServiceName::new("ladder").unwrap()),
+        call: named.then(|| CallType::new("finals").unwrap()),
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(2),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_receipt_reads_back_as_it_was(receipt in receipt()) {
+        let key = CheckKey::from_secret("a");
+        let text = receipt.encode(&key);
+        prop_assert_eq!(Receipt::decode(&text, &key), Ok(receipt.clone()));
+        prop_assert!(Receipt::decode(&text, &CheckKey::from_secret("b")).is_err());
+    }
+
+    /// A receipt with any character changed is refused, never misread.
+    #[test]
+    fn an_altered_receipt_is_refused(
+        receipt in receipt(),
+        at in any::<prop::sample::Index>(),
+        letter in prop::char::range('a', 'z'),
+    ) {
+        let key = CheckKey::from_secret("a");
+        let text = receipt.encode(&key);
+        let mut chars: Vec<char> = text.chars().collect();
+        let place = at.index(chars.len());
+        chars[place] = letter;
+        let altered: String = chars.into_iter().collect();
+        let read = Receipt::decode(&altered, &key);
+        prop_assert!(read.is_err() || read == Ok(receipt.clone()));
+    }
+}
+
+fn journal(most: usize) -> Journal {
+    let config = JournalConfig {
+        most,
+        batch: 10,
+        ..JournalConfig::default()
+    };
+    Journal::new(config, MemberId::new("m").unwrap(), Incarnation(1))
+}
+
+fn record(n: u64) -> Record {
+    Record {
+        receipt: format!("r{n}"),
+        detail: String::new(),
+    }
+}
+
+/// The platform is out for long: records are dropped, oldest first, and the
+/// next batch that is written says how many of each reason are missing.
+#[test]
+fn what_is_dropped_is_counted_and_recorded() {
+    let mut journal = journal(20);
+    for n in 0..50 {
+        journal.add(Reason::Overload, record(n), Wall(n));
+    }
+    assert_eq!(journal.dropped(), 30);
+    let batch = journal.next_batch(7, Time::from_millis(1)).unwrap();
+    let gap = batch.gap.clone().unwrap();
+    assert_eq!(gap.dropped[&Reason::Overload], 30);
+    assert_eq!(batch.records[0], record(30));
+    // A lost answer: the same batch comes again, under the same name.
+    let again = journal.next_batch(7, Time::from_millis(60_000)).unwrap();
+    assert_eq!(again, batch);
+    journal.confirm(&batch.name);
+    assert_eq!(journal.written(), 10);
+    assert_eq!(journal.waiting(), 10);
+}
+
+/// All entries together write at most fifty batches a second.
+#[test]
+fn the_interval_grows_with_the_fleet() {
+    let mut journal = journal(1000);
+    journal.add(Reason::Overload, record(0), Wall(0));
+    let batch = journal
+        .next_batch(2900, Time::ZERO + Duration::from_secs(1))
+        .unwrap();
+    journal.confirm(&batch.name);
+    journal.add(Reason::Overload, record(1), Wall(0));
+    assert!(
+        journal
+            .next_batch(2900, Time::ZERO + Duration::from_secs(50))
+            .is_none()
+    );
+    assert!(
+        journal
+            .next_batch(2900, Time::ZERO + Duration::from_secs(60))
+            .is_some()
+    );
+}
--- /dev/null
+++ b/crates/conf/tests/book.rs
@@ -0,0 +1,73 @@
+//! The book never goes back.
+
+use std::collections::BTreeMap;
+
+use chestnut_conf::{Applied, Book, EDITS_KEPT, Edit, Kind, Object, ObjectKey, Stored};
+use chestnut_unit::Wall;
+use proptest::{prelude::*, test_runner::RngSeed};
+use serde_json::json;
+
+fn object(name: u8, version: u64) -> Object {
+    Object {
+        key: ObjectKey {
+            kind: if name % 2 == 0 {
+                Kind::Template
+            } else {
+                Kind::Organisation
+            },
+            name: format!("o{name}"),
+        },
+        version,
+        value: json!(version),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever comes in whatever order, the greatest version of each object is
+    /// in force at every moment, and the digest tells books apart by content.
+    #[test]
+    fn the_greatest_version_is_in_force(
+        offers in prop::collection::vec((0u8..6, 1u64..8), 0..60),
+    ) {
+        let mut book = Book::default();
+        let mut naive: BTreeMap<ObjectKey, u64> = BTreeMap::new();
+        for (name, version) in &offers {
+            let offered = object(*name, *version);
+            let held = naive.get(&offered.key).copied().unwrap_or(0);
+            let applied = book.apply(offered.clone());
+            prop_assert_eq!(applied == Applied::New, *version > held);
+            naive.insert(offered.key, held.max(*version));
+            prop_assert_eq!(book.keys(), naive.clone());
+        }
+        let mut other = Book::default();
+        for (name, version) in offers.iter().rev() {
+            other.apply(object(*name, *version));
+        }
+        prop_assert_eq!(book.digest(), other.digest());
+        prop_assert!(book.newer_than(&other.keys()).is_empty());
+    }
+}
+
+#[test]
+fn an_object_keeps_its_latest_edits() {
+    let mut stored: Option<Stored> = None;
+    for version in 1..=100 {
+        let edit = Edit {
+            id: format!("e{version}"),
+            version,
+            by: String::new(),
+            at: Wall(version),
+        };
+        stored = Some(Stored::next(stored.as_ref(), json!({}), edit));
+    }
+    let edits = stored.unwrap().edits;
+    assert_eq!(edits.len(), EDITS_KEPT);
+    assert_eq!(edits.last().unwrap().version, 100);
+}
--- a/crates/route/src/admit.rs
+++ b/crates/route/src/admit.rs
@@ -239,6 +239,7 @@
             if !self.may_run(key.0) {
                 return;
             }
+            self.count_pass(key);
             self.queue.remove(&key);
             self.running += 1;
             out.push(Release {
@@ -270,19 +271,26 @@
 
     /// The request that runs next. Only calls of urgency `now` can hold back
     /// the least urgent for good: those let nothing pass.
-    fn next(&mut self) -> Option<Key> {
+    fn next(&self) -> Option<Key> {
         let first = *self.queue.keys().next()?;
-        let last = *self.queue.keys().next_back()?;
-        if first.0 == last.0 || first.0 == Urgency::Now {
+        if first.0 == Urgency::Now || self.passes < PASSES_MAX {
             return Some(first);
         }
-        self.passes += 1;
-        if self.passes <= PASSES_MAX {
-            return Some(first);
-        }
-        self.passes = 0;
-        let lowest = (last.0, Time::ZERO, RequestId(0));
-        self.queue.range(lowest..).next().map(|(key, _)| *key)
+        let lowest = self.queue.keys().next_back()?.0;
+        let from = (lowest, Time::ZERO, RequestId(0));
+        self.queue.range(from..).next().map(|(key, _)| *key)
+    }
+
+    /// Counts a release that passes over less urgent requests. It is counted
+    /// when the request runs and not when it is looked at: a look that finds
+    /// no place would use up the turn of the least urgent.
+    fn count_pass(&mut self, key: Key) {
+        let passed_over = self
+            .queue
+            .keys()
+            .next_back()
+            .is_some_and(|last| last.0 > key.0);
+        self.passes = if passed_over { self.passes + 1 } else { 0 };
     }
 
     /// Seconds that a request with `key` would wait.
--- /dev/null
+++ b/crates/route/tests/regressions.rs
@@ -0,0 +1,264 @@
+//! One test for each failure found, named after it.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use chestnut_conf::OrgLimits;
+use chestnut_route::{
+    Action, Backend, Budget, Choice, Context, End, Failure, Give, Ix, OrgGates, Pick, Pool, Query,
+    QueryConfig, Refusal, Route, Routes, Table, TableConfig, Versions, choose_replica,
+};
+use chestnut_unit::{
+    IndexVersion, LeafId, OrgName, Rate, ServiceName, ShardName, Share, Snapshot, Time,
+};
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use rstest::rstest;
+
+const V1: IndexVersion = IndexVersion(1);
+
+fn leafs(table: &mut Table, count: usize) -> Vec<Ix> {
+    let add = |n| {
+        table.add(
+            Backend::Leaf(LeafId::new(format!("l{n}")).unwrap()),
+            5,
+            Time::ZERO,
+        )
+    };
+    (0..count).map(add).collect()
+}
+
+fn one_shard(replicas: Vec<Ix>, version: IndexVersion) -> Routes {
+    Routes {
+        snapshot: Snapshot {
+            service: ServiceName::new("ladder").unwrap(),
+            version,
+        },
+        shards: vec![Route {
+            name: ShardName::new("s0").unwrap(),
+            replicas,
+        }],
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// The caller waits for two delays instead of one.
+/// The hedge delay of the service rose a little between the sending of a call
+/// and the look at it; nothing was late by the new delay.
+/// The delay of a call is fixed when it is sent.
+#[test]
+fn a_rising_delay_does_not_postpone_a_hedge() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 3);
+    for n in 0..200 {
+        table.answered(replicas[n % 3], Duration::from_millis(4), at(n as u64));
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut out = Vec::new();
+    let config = QueryConfig {
+        deadline: at(2000),
+        least: Share::WHOLE,
+    };
+    let mut cx = Context {
+        table: &mut table,
+        now: at(1000),
+        rng: &mut rng,
+        out: &mut out,
+    };
+    let routes = Arc::new(one_shard(replicas.clone(), V1));
+    let query: &mut Query<()> = &mut Query::start(routes, None, config, &mut cx);
+    let due = query.wake();
+    for _ in 0..64 {
+        cx.table
+            .answered(replicas[0], Duration::from_millis(9), at(1001));
+    }
+    cx.out.clear();
+    cx.now = due;
+    query.tick(&mut cx);
+    assert!(matches!(cx.out[..], [Action::Call { .. }]), "{:?}", cx.out);
+}
+
+/// A shard whose replicas were all caught on silent connections is tried once
+/// more over new ones, instead of waiting for its deadline.
+#[test]
+fn a_shard_cut_off_everywhere_is_tried_again() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 1);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut out = Vec::new();
+    let config = QueryConfig {
+        deadline: at(1000),
+        least: Share::WHOLE,
+    };
+    let mut cx = Context {
+        table: &mut table,
+        now: at(1),
+        rng: &mut rng,
+        out: &mut out,
+    };
+    let routes = Arc::new(one_shard(replicas, V1));
+    let mut query: Query<()> = Query::start(routes, None, config, &mut cx);
+    let Action::Call { call, .. } = cx.out.remove(0) else {
+        panic!("no call");
+    };
+    query.fail(call, Failure::Cut, &mut cx);
+    assert_eq!(query.end(), None);
+    assert!(matches!(cx.out[..], [Action::Call { .. }]));
+}
+
+/// A request that can't be finished ends at once, not at its deadline.
+#[test]
+fn what_is_given_up_ends_at_once() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 3);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut out = Vec::new();
+    let config = QueryConfig {
+        deadline: at(10_000),
+        least: Share::WHOLE,
+    };
+    let mut cx = Context {
+        table: &mut table,
+        now: at(1),
+        rng: &mut rng,
+        out: &mut out,
+    };
+    let routes = Arc::new(one_shard(replicas, V1));
+    let mut query: Query<()> = Query::start(routes, None, config, &mut cx);
+    while query.end().is_none() {
+        let Some(Action::Call { call, .. }) = cx.out.pop() else {
+            panic!("neither a call nor the end");
+        };
+        let refusal = Failure::Refused(Refusal::NoSnapshot);
+        query.fail(call, refusal, &mut cx);
+    }
+    assert_eq!(query.end(), Some(End::Partial(Give::SnapshotLost)));
+    assert!(query.not_run().is_some());
+}
+
+/// The newest version is pinned only while each of its shards has a back end
+/// that is open for it.
+#[test]
+fn a_version_without_a_live_replica_is_not_pinned() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 2);
+    let mut versions = Versions::default();
+    versions.insert(one_shard(vec![replicas[0]], V1));
+    versions.insert(one_shard(vec![replicas[1]], IndexVersion(2)));
+    let pinned = |table: &Table| versions.pin(table, at(5)).unwrap().snapshot.version;
+    assert_eq!(pinned(&table), IndexVersion(2));
+    table.lacks(replicas[1], IndexVersion(2), at(1));
+    assert_eq!(pinned(&table), V1);
+}
+
+/// At most a third of a shard's replicas is passed over as evicted.
+#[test]
+fn eviction_never_empties_a_shard() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 3);
+    for ix in &replicas {
+        for _ in 0..5 {
+            table.sent(*ix);
+            table.failed(*ix, Failure::Lost, at(10));
+        }
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut chosen = BTreeSet::new();
+    for _ in 0..50 {
+        chosen.insert(choose_replica(
+            &mut table,
+            &replicas,
+            &[],
+            V1,
+            at(11),
+            &mut rng,
+        ));
+    }
+    assert!(!chosen.contains(&None));
+    assert!(!table.take_evictions().is_empty());
+}
+
+/// No way of choosing ever takes a replica that is leaving, lacks the snapshot
+/// or was tried already.
+#[rstest]
+fn closed_replicas_are_never_chosen(
+    #[values(
+        Choice::RoundRobin,
+        Choice::LeastOutstanding,
+        Choice::PowerOfTwo,
+        Choice::PeakEwma,
+        Choice::Predicted,
+        Choice::Damped
+    )]
+    choice: Choice,
+) {
+    let mut table = Table::new(TableConfig {
+        choice,
+        ..TableConfig::default()
+    });
+    let replicas = leafs(&mut table, 4);
+    table.set_leaving(replicas[0], true, at(1));
+    table.lacks(replicas[1], V1, at(1));
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for _ in 0..100 {
+        let tried = [replicas[2]];
+        let chosen = choose_replica(&mut table, &replicas, &tried, V1, at(2), &mut rng);
+        assert_eq!(chosen, Some(replicas[3]));
+    }
+}
+
+/// Extra calls never pass their share of first calls, plus the burst.
+#[test]
+fn a_budget_bounds_extra_calls() {
+    let mut budget = Budget::new(Share::from_permille(30), 10);
+    let mut spent = 0;
+    for _ in 0..1000 {
+        budget.earn(1);
+        while budget.spend() {
+            spent += 1;
+        }
+    }
+    assert!((30..=40).contains(&spent), "{spent}");
+}
+
+/// A connection that carries calls and answers none is passed over for one
+/// opened beside it; one that answers a probe is kept.
+#[test]
+fn a_quiet_connection_is_avoided_but_not_condemned() {
+    let mut pool = Pool::new(1, 1);
+    let Pick::Open(first) = pool.pick(at(0)) else {
+        panic!("nothing to open");
+    };
+    pool.opened(first);
+    pool.sent(first, at(0));
+    assert_eq!(pool.check(at(10)), None);
+    let second = pool.check(at(100)).expect("a second connection");
+    pool.opened(second);
+    assert_eq!(pool.quiet(at(100)), vec![first]);
+    assert_eq!(pool.pick(at(100)), Pick::Use(second));
+    pool.alive(first, at(101));
+    assert!(pool.quiet(at(102)).is_empty());
+    assert_eq!(pool.len(), 2);
+}
+
+/// The shares of an organisation's limit at all entries add up to the limit.
+#[test]
+fn an_organisation_gets_its_limit_over_all_entries() {
+    let limits = OrgLimits {
+        rate: Rate(70),
+        flight: 700,
+    };
+    let org = OrgName::new("galway").unwrap();
+    let mut passed = 0;
+    for _ in 0..7 {
+        let mut gates = OrgGates::default();
+        for ms in 0..10_000 {
+            if gates.enter(&org, &limits, 7, at(ms)).is_ok() {
+                passed += 1;
+                gates.leave(&org);
+            }
+        }
+    }
+    assert!((700..=800).contains(&passed), "{passed}");
+}
--- a/crates/scene/src/command.rs
+++ b/crates/scene/src/command.rs
@@ -75,8 +75,10 @@
     Silence,
     /// Submissions take effect and their answers are lost.
     LoseAnswers,
-    /// It answers each query call twice and late.
+    /// It answers each query call twice.
     Repeat,
+    /// It answers from another index version than it was asked for.
+    Stray,
 }
 
 /// What an answer to a query must be.
@@ -316,6 +318,7 @@
         "silence" => LeafFault::Silence,
         "lose-answers" => LeafFault::LoseAnswers,
         "repeat" => LeafFault::Repeat,
+        "stray" => LeafFault::Stray,
         other => return Err(format!("{other:?} is no change of a leaf")),
     })
 }
--- a/crates/scene/src/leafs.rs
+++ b/crates/scene/src/leafs.rs
@@ -36,6 +36,7 @@
     pub(crate) slow: u32,
     pub(crate) lose_answers: bool,
     pub(crate) repeat: bool,
+    pub(crate) stray: bool,
     pub(crate) silenced: Option<Instant>,
     pub(crate) shards: BTreeMap<IndexVersion, BTreeSet<ShardName>>,
     pub(crate) applied: BTreeMap<String, u64>,
@@ -203,9 +204,10 @@
 /// The answer to a query call: each row names shard, version and number, so
 /// that a part of another snapshot or request is seen in the merged answer.
 fn answer_of(leaf: &Leaf, call: &LeafQuery, number: u64) -> LeafAnswer {
+    let version = IndexVersion(call.version.0 + u64::from(leaf.stray));
     let part = |shard: &ShardName| {
         let rows = json!([{
-            "shard": shard, "version": call.version, "number": number,
+            "shard": shard, "version": version, "number": number,
         }]);
         (shard.clone(), Bytes::from(rows.to_string()))
     };
@@ -214,7 +216,7 @@
         parts.extend(call.shards.iter().map(part));
     }
     LeafAnswer {
-        version: call.version,
+        version,
         parts,
         draining: leaf.draining,
     }
--- a/crates/scene/src/stage.rs
+++ b/crates/scene/src/stage.rs
@@ -294,6 +294,7 @@
                 leaf.left = None;
                 leaf.slow = 1;
                 leaf.lose_answers = false;
+                leaf.stray = false;
             }
             LeafFault::Drain => {
                 leaf.draining = true;
@@ -305,6 +306,7 @@
             LeafFault::Silence => leaf.silenced = Some(now),
             LeafFault::LoseAnswers => leaf.lose_answers = true,
             LeafFault::Repeat => leaf.repeat = true,
+            LeafFault::Stray => leaf.stray = true,
         }
         Ok(())
     }
