Repeat probes before suspecting, tell the suspect at once, and tell news less often

Cause: at 10% loss one probe in a hundred failed, and each suspicion with its refutation was passed on 3 x log2(n) times: at 800 members refutations waited behind suspicions until these were over. Deaths took log2(n) intervals more. What a source of members says is not passed on as news.

--- a/crates/conf/tests/book.rs
+++ b/crates/conf/tests/book.rs
@@ -10,7 +10,7 @@
 fn object(name: u8, version: u64) -> Object {
     Object {
         key: ObjectKey {
-            kind: if name % 2 == 0 {
+            kind: if name.is_multiple_of(2) {
                 Kind::Template
             } else {
                 Kind::Organisation
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod experiment;
 mod gate;
 pub mod load;
+pub mod membership;
 mod platform;
 mod plot;
 mod store;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -9,6 +9,7 @@
     demo::{Demo, objects_in},
     experiment::{Shape, conditions, policies, run_table},
     load::{self, LoadConfig},
+    membership,
 };
 use chestnut_unit::parse_span;
 use clap::{Parser, Subcommand};
@@ -68,6 +69,16 @@
     /// Prints one row for each policy under each condition. The same seed gives
     /// the same figures.
     Experiment(ExperimentArgs),
+    /// Measure membership in virtual time: traffic of a member, time until all
+    /// know of a death, deaths that were none.
+    Membership {
+        /// Numbers of members, separated by commas.
+        #[arg(long, default_value = "7,50,200", value_delimiter = ',')]
+        members: Vec<usize>,
+        /// Seed of losses and targets.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Send queries in an open loop and report latency, coverage and refusals.
     Load(LoadArgs),
 }
@@ -152,6 +163,10 @@
         Command::Targets { folder, only } => targets(&folder, &only).await,
         Command::Settings { folder, out } => settings(&folder, &out),
         Command::Experiment(args) => experiment(&args),
+        Command::Membership { members, seed } => {
+            membership::run_table(&members, seed);
+            Ok(())
+        }
         Command::Load(args) => drive(args).await,
     }
 }
--- a/crates/fleet/src/news.rs
+++ b/crates/fleet/src/news.rs
@@ -6,10 +6,11 @@
 
 use crate::Member;
 
-/// A statement is passed on this many times the logarithm of the number of
-/// members; with 3 the chance that some member misses it is below 1 in n^2,
-/// and digests close that gap.
-const REPEAT: u32 = 3;
+/// A statement is passed on this many times the number of decimal digits of
+/// the number of members. More fills the messages: at 10% loss and 800 members
+/// three times the binary digits left refutations waiting behind suspicions
+/// until their time was over (docs/MEASUREMENTS.md, membership).
+const REPEAT: u32 = 4;
 
 /// The newest statement about each member, with the times it was passed on.
 #[derive(Clone, Debug, Default)]
@@ -26,7 +27,7 @@
     /// The statements that go with the next message, the least often told
     /// first, at most `most`.
     pub fn take(&mut self, most: usize, members: usize) -> Vec<Member> {
-        let limit = REPEAT * (usize::BITS - members.max(1).leading_zeros()).max(2);
+        let limit = REPEAT * (members.max(1).ilog10() + 1);
         let mut order: Vec<(u32, MemberId)> = self
             .waiting
             .iter()
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -30,13 +30,17 @@
     }
 }
 
-/// Part of the interval after which a probe is repeated through helpers.
-const DIRECT_PART: u32 = 3;
-/// Intervals that a member stays suspect, for each binary digit of the number
-/// of members. In that time its refutation reaches everybody.
-const SUSPECT_INTERVALS: u32 = 1;
-/// Fewest intervals that a member stays suspect.
-const SUSPECT_MIN: u32 = 4;
+/// Part of the interval after which a probe is repeated, directly and through
+/// helpers; it is repeated again after another such part. One lost datagram in
+/// ten would otherwise make one probe in a hundred fail, and the suspicions of
+/// a large fleet would fill all messages.
+const TRY_PART: u32 = 3;
+/// Times that a probe is repeated.
+const REPEATS: u32 = 2;
+/// Intervals that a member stays suspect. It hears of the suspicion at once
+/// from the member that raises it, and its refutation travels as fast as the
+/// suspicion did, a round trip behind it.
+const SUSPECT_INTERVALS: u32 = 4;
 /// Highest self-doubt: timeouts grow up to this many times plus one.
 const DOUBT_MAX: u32 = 8;
 /// One probe in this many goes to a member that is gone, so that two halves of
@@ -100,7 +104,7 @@
 struct Pending {
     target: MemberId,
     started: Time,
-    relayed: bool,
+    repeats: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -168,11 +172,14 @@
     }
 
     /// Takes members from another source: the platform's list or a peer's
-    /// whole view. The platform's list lags, so it only introduces members.
+    /// whole view. They are not passed on as news: others have the same
+    /// sources, and a new entry would otherwise repeat the whole fleet.
     pub fn introduce(&mut self, members: &[Member], now: Time) {
+        let news = self.news.clone();
         for member in members {
             self.hear(member, now);
         }
+        self.news = news;
     }
 
     /// Says that this entry is leaving, and to whom it gave its tickets.
@@ -212,12 +219,11 @@
     /// When [`Swim::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
-        let direct = self.config.interval / DIRECT_PART;
         let relay = self
             .pending
             .values()
-            .filter(|pending| !pending.relayed)
-            .map(|pending| pending.started + direct * (1 + self.doubt))
+            .filter(|pending| pending.repeats < REPEATS)
+            .map(|pending| self.repeat_at(pending))
             .min();
         let suspect = self.suspects.values().min().copied();
         [Some(self.due), relay, suspect]
@@ -227,11 +233,17 @@
             .unwrap_or(self.due)
     }
 
+    /// When a probe that has no answer yet is repeated.
+    fn repeat_at(&self, pending: &Pending) -> Time {
+        let part = self.config.interval / TRY_PART * (1 + self.doubt);
+        pending.started + part * (pending.repeats + 1)
+    }
+
     /// Does what is due: probes, asks helpers, suspects, gives up.
     pub fn tick(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
         self.notice_own_pause(now);
-        self.relay_late(status, now, rng, out);
-        self.suspect_silent(now);
+        self.repeat_late(status, now, rng, out);
+        self.suspect_silent(status, now, out);
         self.give_up_suspects(now);
         if now >= self.due {
             self.due = now + self.config.interval;
@@ -297,16 +309,14 @@
         } else {
             self.next_target(rng)
         };
-        let Some((id, to)) = target else {
+        let Some(id) = target else {
             return;
         };
-        let mut probe = self.message(ProbeKind::Ping, self.seq, status);
-        self.tell_it(&id, &mut probe);
-        out.push(Send { to, probe });
+        self.ping(self.seq, &id, status, out);
         let pending = Pending {
             target: id,
             started: now,
-            relayed: false,
+            repeats: 0,
         };
         self.pending.insert(self.seq, pending);
     }
@@ -325,12 +335,12 @@
 
     /// The next member of a shuffled round, so that each is probed once in
     /// every round and the time to notice a death is bounded.
-    fn next_target(&mut self, rng: &mut dyn Rng) -> Option<(MemberId, SocketAddr)> {
+    fn next_target(&mut self, rng: &mut dyn Rng) -> Option<MemberId> {
         for _ in 0..2 {
             while let Some(id) = self.order.pop() {
                 let present = self.view.get(&id).filter(|m| m.liveness != Liveness::Gone);
-                if let Some(member) = present {
-                    return Some((id, member.addresses.peers));
+                if present.is_some() {
+                    return Some(id);
                 }
             }
             self.order = self.view.others().map(|m| m.id.clone()).collect();
@@ -339,7 +349,7 @@
         None
     }
 
-    fn some_gone(&self, rng: &mut dyn Rng) -> Option<(MemberId, SocketAddr)> {
+    fn some_gone(&self, rng: &mut dyn Rng) -> Option<MemberId> {
         let gone: Vec<&Member> = self
             .view
             .all()
@@ -348,26 +358,35 @@
         if gone.is_empty() {
             return None;
         }
-        let member = gone[below(rng, gone.len())];
-        Some((member.id.clone(), member.addresses.peers))
+        Some(gone[below(rng, gone.len())].id.clone())
     }
 
-    fn relay_late(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
-        let patience = self.config.interval / DIRECT_PART * (1 + self.doubt);
+    fn repeat_late(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
         let late: Vec<(u64, MemberId)> = self
             .pending
             .iter()
-            .filter(|(_, p)| !p.relayed && p.started + patience <= now)
+            .filter(|(_, p)| p.repeats < REPEATS && self.repeat_at(p) <= now)
             .map(|(seq, p)| (*seq, p.target.clone()))
             .collect();
         for (seq, target) in late {
             if let Some(pending) = self.pending.get_mut(&seq) {
-                pending.relayed = true;
+                pending.repeats += 1;
             }
+            self.ping(seq, &target, status, out);
             self.ask_helpers(seq, &target, status, rng, out);
         }
     }
 
+    /// Pings a member, telling it what is held against it.
+    fn ping(&mut self, seq: u64, id: &MemberId, status: Status, out: &mut Vec<Send>) {
+        let Some(to) = self.view.get(id).map(|m| m.addresses.peers) else {
+            return;
+        };
+        let mut probe = self.message(ProbeKind::Ping, seq, status);
+        self.tell_it(id, &mut probe);
+        out.push(Send { to, probe });
+    }
+
     fn ask_helpers(
         &mut self,
         seq: u64,
@@ -393,7 +412,7 @@
         }
     }
 
-    fn suspect_silent(&mut self, now: Time) {
+    fn suspect_silent(&mut self, status: Status, now: Time, out: &mut Vec<Send>) {
         let patience = self.config.interval * (1 + self.doubt);
         let silent: Vec<u64> = self
             .pending
@@ -415,6 +434,7 @@
             let mut said = member.clone();
             said.liveness = Liveness::Suspect;
             self.hear(&said, now);
+            self.ping(seq, &pending.target, status, out);
         }
     }
 
@@ -533,10 +553,7 @@
     }
 
     fn suspect_span(&self) -> Duration {
-        let members = self.view.present().count();
-        let digits = usize::BITS - members.leading_zeros();
-        let intervals = (SUSPECT_INTERVALS * digits).max(SUSPECT_MIN);
-        self.config.interval * intervals
+        self.config.interval * SUSPECT_INTERVALS
     }
 
     fn message(&mut self, kind: ProbeKind, seq: u64, status: Status) -> Probe {
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -35,6 +35,6 @@
 pub use peer_rpc::PeerNet;
 pub use platform::{Changes, Listing, Platform, PlatformError, Vm, VmRole};
 pub use platform_http::HttpPlatform;
-pub use probe::{ProbeSocket, Probes};
+pub use probe::{ProbeSocket, Probes, probe_size};
 pub use target::{LeafQuery, LeafState, LeafSubmit, Targets};
 pub use target_http::{HttpTargets, TargetsConfig};
--- a/crates/port/src/probe.rs
+++ b/crates/port/src/probe.rs
@@ -15,6 +15,12 @@
 /// network in between splits them.
 const DATAGRAM_MAX: usize = 4096;
 
+/// Bytes of a probe as a datagram, for measurements.
+#[must_use]
+pub fn probe_size(probe: &Probe) -> usize {
+    wire::probe_bytes(probe).len()
+}
+
 /// The port by which probes travel. They may be lost, doubled or late.
 pub trait Probes: Send + Sync {
     /// Sends a probe.
