Hedge a holder that hangs, evict one of two, and place only when members are known

Now calls count beside shards, what is missing at half of the deadline may be hedged within the budget, a cancelled call that was late by its own delay counts, one of two may go, and the first placement waits for the members.

--- a/crates/route/src/query.rs
+++ b/crates/route/src/query.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 
 use crate::{
-    Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table, choose::choose_replica,
+    Attempt, Ended, Failure, Hedge, Ix, NotRun, Refusal, Routes, Sent, Table,
+    choose::choose_replica,
 };
 
 /// Number of a call within its query.
@@ -151,6 +152,10 @@
     ends: Vec<Ended>,
     pending: usize,
     look: Time,
+    /// Half of the time to the deadline: from here on what is missing may be
+    /// hedged however much it is, as far as the budget goes.
+    half: Time,
+    first: usize,
     end: Option<End>,
     sheds: u32,
     /// Whether some shard may have no call under way and none to come.
@@ -175,12 +180,15 @@
             calls: Vec::new(),
             ends: Vec::new(),
             look: Time::MAX,
+            half: cx.now + config.deadline.since(cx.now) / 2,
+            first: 0,
             end: None,
             sheds: 0,
             stuck: true,
         };
         let every: Vec<usize> = (0..query.shards.len()).collect();
         query.call(&every, CallKind::First, cx);
+        query.first = query.calls.len();
         query.settle(cx);
         query
     }
@@ -417,7 +425,7 @@
     fn hedge(&mut self, cx: &mut Context<'_>) {
         self.look = Time::MAX;
         let hedge = cx.table.config.hedge;
-        if !hedge.is_late(self.pending, self.shards.len()) {
+        if !self.few_missing(hedge) && cx.now < self.half {
             self.look = cx.now + LOOK_AGAIN;
             return;
         }
@@ -433,6 +441,15 @@
         self.look = self.next_due(cx.now);
     }
 
+    /// Whether the query waits for few of its shards or of its calls. One call
+    /// to a holder covers many shards: when it hangs, most shards may be
+    /// missing though nothing else is wrong.
+    fn few_missing(&self, hedge: Hedge) -> bool {
+        let live = |call: &&Call| matches!(call.life, Life::Live(_));
+        let calls = self.calls.iter().filter(live).count();
+        hedge.is_late(self.pending, self.shards.len()) || hedge.is_late(calls, self.first)
+    }
+
     /// When the next pending shard is late. One that is late already and got
     /// no hedge, for want of a replica or budget, is looked at again shortly.
     fn next_due(&self, now: Time) -> Time {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -337,11 +337,12 @@
     /// that lets calls run into cancellation one after the other is frozen or
     /// silent, though it never fails a call by itself.
     pub fn cancelled(&mut self, ix: Ix, span: Duration, now: Time) {
-        let late = self.calls.high().max(self.calls.median() * 3);
+        let usual = self.calls.median() * 3;
+        let late = self.hedge_delay(ix, now).unwrap_or(usual);
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
         state.estimate.record_at_least(span, now);
-        if span > late && self.calls.count() > 0 {
+        if span >= late && self.calls.count() > 0 {
             self.count(POINTS_LATE, ix, Failure::Lost, now);
         }
     }
@@ -433,12 +434,17 @@
 const COLD_HANDICAP: f64 = 3.0;
 
 /// The set of back ends that are evicted among `replicas`, at most a third of
-/// them (one of three, none of two): if most replicas of a shard look faulty,
-/// the fault is more likely on our side or general, and calling nobody would
-/// turn it into an outage.
+/// them, but one of two: if most replicas of a shard look faulty, the fault is
+/// more likely on our side or general, and calling nobody would turn it into
+/// an outage. One of two must go, or a frozen holder of a leaf that has two
+/// would hold up half of the queries until it is known to be gone.
 #[must_use]
 pub(crate) fn evicted_among(table: &Table, replicas: &[Ix], now: Time) -> BTreeSet<Ix> {
-    let most = replicas.len() / 3;
+    let most = match replicas.len() {
+        0 | 1 => 0,
+        2 => 1,
+        more => more / 3,
+    };
     replicas
         .iter()
         .copied()
--- a/crates/tier/src/boot.rs
+++ b/crates/tier/src/boot.rs
@@ -32,7 +32,6 @@
         sleep(RETRY).await;
     }
     place::place_all(&shared);
-    shared.place.notify_one();
     shared.phase.send_if_modified(|phase| {
         let starting = *phase == Phase::Starting;
         if starting {
@@ -40,6 +39,7 @@
         }
         starting
     });
+    shared.place.notify_one();
     info!(shared.log, "fleet: {} serves", shared.own.id);
 }
 
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -32,6 +32,11 @@
             () = shared.place.notified() => {}
             () = sleep(AGAIN) => {}
         }
+        // An entry that starts knows no others yet and would hold every leaf;
+        // its first placement is made when it has read who they are.
+        if shared.phase() == Phase::Starting {
+            continue;
+        }
         // An entry that leaves keeps what it holds until it stops: peers that
         // have not heard yet still ask it for parts.
         if shared.phase() >= Phase::Leaving {
