--- a/crates/cli/src/objects.rs
+++ b/crates/cli/src/objects.rs
@@ -10,7 +10,7 @@
 use crate::{
     Action,
     client::{CliError, Client},
-    show::{pretty, table, text},
+    show::{line, pretty, table, text},
 };
 
 /// Runs an action on objects of one kind.
@@ -59,9 +59,9 @@
 
 fn say(reply: &Value, as_json: bool, human: impl Fn() -> String) {
     if as_json {
-        println!("{reply}");
+        line(reply);
     } else {
-        println!("{}", human());
+        line(human());
     }
 }
 
@@ -74,7 +74,7 @@
 async fn list(client: &Client, kind: Kind, as_json: bool) -> Result<(), CliError> {
     let reply = client.get(&format!("/objects/{kind}")).await?;
     if as_json {
-        println!("{reply}");
+        line(reply);
         return Ok(());
     }
     let mut rows = vec![vec!["NAME".to_owned(), "VERSION".to_owned()]];
@@ -88,10 +88,10 @@
 async fn get(client: &Client, kind: Kind, name: &str, as_json: bool) -> Result<(), CliError> {
     let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
     if as_json {
-        println!("{reply}");
+        line(reply);
     } else {
         eprintln!("version {}", reply["version"]);
-        println!("{}", pretty(&reply["spec"]));
+        line(pretty(&reply["spec"]));
     }
     Ok(())
 }
@@ -99,7 +99,7 @@
 async fn history(client: &Client, kind: Kind, name: &str, as_json: bool) -> Result<(), CliError> {
     let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
     if as_json {
-        println!("{}", reply["edits"]);
+        line(&reply["edits"]);
         return Ok(());
     }
     let mut rows = vec![
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -1,11 +1,22 @@
 //! Commands that show what an entry knows, and how it is printed.
 
+use std::io::Write;
+
 use bytes::Bytes;
 use hyper::Method;
 use serde_json::Value;
 
 use crate::client::{CliError, Client};
 
+/// Prints a line. A reader that has seen enough and closed the pipe, as `head`
+/// does, is no error: the command ends as it would have.
+pub(crate) fn line(text: impl std::fmt::Display) {
+    let written = writeln!(std::io::stdout(), "{text}");
+    if written.is_err() {
+        std::process::exit(0);
+    }
+}
+
 /// Prints rows as columns, the first row as their heads.
 pub(crate) fn table(rows: &[Vec<String>]) {
     let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
@@ -16,8 +27,8 @@
     let widths: Vec<usize> = (0..columns).map(width).collect();
     for row in rows {
         let cells = row.iter().zip(&widths);
-        let line: Vec<String> = cells.map(|(cell, w)| format!("{cell:w$}")).collect();
-        println!("{}", line.join("  ").trim_end());
+        let cells: Vec<String> = cells.map(|(cell, w)| format!("{cell:w$}")).collect();
+        line(cells.join("  ").trim_end());
     }
 }
 
@@ -39,12 +50,15 @@
 pub(crate) async fn entries(client: &Client, as_json: bool) -> Result<(), CliError> {
     let reply = client.get("/entries").await?;
     if as_json {
-        println!("{reply}");
+        line(&reply);
         return Ok(());
     }
     let heads = ["ENTRY", "ADDRESS", "DOMAIN"];
     print_list(&reply["entries"], &heads, &["entry", "address", "domain"]);
-    println!("callers keep this list for {} ms", reply["ttl_ms"]);
+    line(format_args!(
+        "callers keep this list for {} ms",
+        reply["ttl_ms"]
+    ));
     Ok(())
 }
 
@@ -52,7 +66,7 @@
 pub(crate) async fn targets(client: &Client, as_json: bool) -> Result<(), CliError> {
     let reply = client.get("/targets").await?;
     if as_json {
-        println!("{reply}");
+        line(&reply);
         return Ok(());
     }
     let heads = [
@@ -83,10 +97,10 @@
 pub(crate) async fn why(client: &Client, receipt: &str, as_json: bool) -> Result<(), CliError> {
     let reply = client.get(&format!("/why/{receipt}")).await?;
     if as_json {
-        println!("{reply}");
+        line(&reply);
         return Ok(());
     }
-    println!("{}", text(&reply["sentence"]));
+    line(text(&reply["sentence"]));
     for (label, key) in [
         ("reason", "reason"),
         ("run", "run"),
@@ -101,7 +115,7 @@
         ("organisation version", "org_version"),
         ("record", "record"),
     ] {
-        println!("  {label:20} {}", text(&reply[key]));
+        line(format_args!("  {label:20} {}", text(&reply[key])));
     }
     Ok(())
 }
@@ -110,9 +124,11 @@
 pub(crate) async fn drain(client: &Client, as_json: bool) -> Result<(), CliError> {
     let reply = client.call(Method::POST, "/drain", Bytes::new()).await?;
     if as_json {
-        println!("{reply}");
+        line(&reply);
     } else {
-        println!("the entry is leaving; it ends when nothing needs it any more");
+        line(format_args!(
+            "the entry is leaving; it ends when nothing needs it any more"
+        ));
     }
     Ok(())
 }
--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     client::{CliError, Client},
-    show::{table, text},
+    show::{line, table, text},
 };
 
 /// Asks the entry for its members and then each of them for itself.
@@ -18,11 +18,11 @@
         asked.insert(name, ask(client, member).await);
     }
     if as_json {
-        println!("{}", json!({ "members": first["members"], "asked": asked }));
+        line(json!({ "members": first["members"], "asked": asked }));
         return Ok(());
     }
     print_members(&first, &asked);
-    println!();
+    line("");
     print_versions(&asked);
     Ok(())
 }
@@ -104,6 +104,6 @@
         .map(|(entry, _)| entry.as_str())
         .collect();
     if !silent.is_empty() {
-        println!("could not be asked: {}", silent.join(" "));
+        line(format_args!("could not be asked: {}", silent.join(" ")));
     }
 }
--- a/crates/cli/tests/blackbox/edits.rs
+++ b/crates/cli/tests/blackbox/edits.rs
@@ -126,3 +126,22 @@
             .await;
     }
 }
+
+/// A reader that closes the pipe early, as `head` does, is no fault.
+#[tokio::test]
+async fn output_into_a_closed_pipe_is_no_panic() {
+    let bench = Bench::start().await;
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_chestnut"))
+        .args(["--entry", &bench.operators(0).to_string(), "targets"])
+        .stdout(std::process::Stdio::piped())
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = tokio::task::spawn_blocking(move || child.wait_with_output())
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(0));
+    assert!(output.stderr.is_empty());
+}
