--- a/crates/scene/src/command.rs
+++ b/crates/scene/src/command.rs
@@ -181,6 +181,8 @@
     Applied(String, u64, bool),
     /// The entries must have this version of the organisation in force.
     InForce(u64, Vec<usize>),
+    /// All entries that run must have the same version in force.
+    Converged,
     /// An entry must know that many working members, itself included.
     Members(usize, usize),
 }
@@ -410,6 +412,7 @@
             let entries: Result<Vec<usize>, _> = list.split(',').map(str::parse).collect();
             Command::InForce(version, entries.map_err(|e| e.to_string())?)
         }
+        "converged" => Command::Converged,
         "members" => Command::Members(words.parse("an entry")?, words.parse("a number")?),
         other => return Err(format!("{other:?} can't be expected")),
     })
--- a/crates/scene/src/run.rs
+++ b/crates/scene/src/run.rs
@@ -119,6 +119,7 @@
             } => self.submit(&ticket, entry, &body, want, later).await?,
             Command::Applied(body, times, most) => self.applied(&body, times, most)?,
             Command::InForce(version, entries) => self.in_force(version, &entries).await?,
+            Command::Converged => self.converged().await?,
             Command::Members(entry, count) => self.members(entry, count).await?,
         }
         Ok(())
@@ -313,6 +314,12 @@
         }
     }
 
+    async fn converged(&self) -> Result<(), String> {
+        let entries: Vec<usize> = self.stage.entries.keys().copied().collect();
+        let newest = entries.iter().map(|e| self.stage.version_at(*e)).max();
+        self.in_force(newest.unwrap_or(0), &entries).await
+    }
+
     async fn members(&self, entry: usize, count: usize) -> Result<(), String> {
         /// Time in which a death or a return must be known.
         const KNOWN: Duration = Duration::from_secs(10);
