Choose by the peak of recent calls instead of their clipped mean

The clipped mean rides out a long call, so a replica that has just filled up keeps its share. Hints of the health endpoint and the ramp of cold leafs have no part in it.

--- a/crates/fake/src/experiment/policy.rs
+++ b/crates/fake/src/experiment/policy.rs
@@ -79,7 +79,8 @@
         choice_only("power-of-two", Choice::PowerOfTwo),
         choice_only("peak-ewma", Choice::PeakEwma),
         choice_only("predicted", Choice::Predicted),
-        hedged("fixed-hedge", Choice::Predicted, Hedge::Fixed(FIXED_DELAY)),
+        hedged("fixed-hedge", Choice::PeakEwma, Hedge::Fixed(FIXED_DELAY)),
+        hedged("predicted-hedged", Choice::Predicted, late),
         hedged("damped", Choice::Damped, late),
     ]
 }
--- a/crates/fake/src/experiment/sim.rs
+++ b/crates/fake/src/experiment/sim.rs
@@ -93,6 +93,17 @@
         }
     }
 
+    /// A wide fan-out, towards the size to design for: 300 shards.
+    #[must_use]
+    pub fn wide() -> Self {
+        Self {
+            service: ServiceName::new("wide").expect("a legal name"),
+            shards: 300,
+            leafs: 900,
+            ..Self::ladder()
+        }
+    }
+
     /// Queries a second that the slots can serve.
     #[must_use]
     pub fn capacity(&self) -> f64 {
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -85,7 +85,8 @@
 
 #[derive(clap::Args)]
 struct ExperimentArgs {
-    /// Deployment: ladder (Flipperhouse) or archive (Hangin Pollen).
+    /// Deployment: ladder (Flipperhouse), archive (Hangin Pollen), or wide (300
+    /// shards; use a short span).
     #[arg(long, default_value = "ladder")]
     shape: String,
     /// Only the policies whose name starts with this.
@@ -260,7 +261,8 @@
     let mut shape = match args.shape.as_str() {
         "ladder" => Shape::ladder(),
         "archive" => Shape::archive(),
-        other => return Err(format!("--shape: {other:?} is not ladder or archive").into()),
+        "wide" => Shape::wide(),
+        other => return Err(format!("--shape: {other:?} is not ladder, archive or wide").into()),
     };
     shape.span = args.span;
     let mut policies = policies();
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -14,10 +14,13 @@
     LeastOutstanding,
     /// The better of two at random by outstanding calls. Baseline.
     PowerOfTwo,
-    /// Highest recent duration, decaying, times outstanding calls. Baseline.
+    /// Highest recent duration, decaying, times outstanding calls. What the
+    /// daemon uses: it shuns a replica at the first long call and comes back as
+    /// the memory of it fades.
     PeakEwma,
-    /// Expected time of the call: clipped mean of past calls, worsened by
-    /// the outstanding calls that share the replica's slots.
+    /// Expected time of the call: clipped mean of past calls, worsened by the
+    /// outstanding calls that share the replica's slots, by hints of its health
+    /// and load endpoint, and while it is cold.
     Predicted,
     /// Windowed weighted average with ranked damping of the split ratios, as
     /// in Dealer (Hajjat et al., JSAC 2013, sections IV-B and IV-C).
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -107,7 +107,7 @@
 impl Default for TableConfig {
     fn default() -> Self {
         Self {
-            choice: Choice::Predicted,
+            choice: Choice::PeakEwma,
             hedge: Hedge::Late {
                 times: 0.6,
                 missing: 0.34,
