Split what grew: the experiment, the query, the detector, the stage, the leaf

Cause: five files of 512 to 999 lines held two jobs each; two event queues stood twice, and so did three tests' beginnings.

--- a/crates/cli/tests/blackbox/bench.rs
+++ b/crates/cli/tests/blackbox/bench.rs
@@ -199,21 +199,20 @@
     }
 
     pub async fn post(&self, address: SocketAddr, path: &str, body: Value) -> HttpReply {
-        let wait = Duration::from_secs(10);
-        let method = "POST".parse().unwrap();
-        self.http
-            .call(method, address, path, body.to_string().into(), wait)
-            .await
-            .unwrap()
+        self.send("POST", address, path, body).await
     }
 
     pub async fn put(&self, address: SocketAddr, path: &str, body: Value) -> HttpReply {
+        self.send("PUT", address, path, body).await
+    }
+
+    async fn send(&self, method: &str, address: SocketAddr, path: &str, body: Value) -> HttpReply {
         let wait = Duration::from_secs(10);
-        let method = "PUT".parse().unwrap();
-        self.http
-            .call(method, address, path, body.to_string().into(), wait)
-            .await
-            .unwrap()
+        let body = body.to_string().into();
+        let call = self
+            .http
+            .call(method.parse().unwrap(), address, path, body, wait);
+        call.await.unwrap()
     }
 
     pub async fn query(&self, number: usize, call: &str) -> HttpReply {
--- a/crates/fake/src/experiment/mod.rs
+++ b/crates/fake/src/experiment/mod.rs
@@ -7,12 +7,17 @@
 
 mod condition;
 mod entry;
+mod faults;
 mod leaf;
 mod policy;
 mod report;
+mod requests;
+mod shape;
 mod sim;
+mod wires;
 
 pub use condition::{Condition, Fault, conditions};
 pub use policy::{Policy, policies};
 pub use report::{Outcome, UrgencyOutcome, run_table};
-pub use sim::{Shape, simulate};
+pub use shape::Shape;
+pub use sim::simulate;
--- /dev/null
+++ b/crates/fake/src/experiment/requests.rs
@@ -0,0 +1,307 @@
+//! Requests: arrival, admission, the query, and how it ended.
+
+use std::time::Duration;
+
+use chestnut_route::{
+    Action, Context, Decision, End, Give, Order, Query, QueryConfig, Ran, Release, Yields,
+};
+use chestnut_unit::{IndexVersion, Reason, RequestId, Share, Time, Urgency};
+use rand::Rng;
+
+use super::{
+    entry::{Request, Waiting},
+    leaf::unit,
+    report::MAX_US,
+    sim::{ARCHIVE_DEADLINE, DEADLINE, Event, Sim, WARM},
+};
+
+/// Times that a query may start over, as in the daemon.
+const RESTARTS: u32 = 3;
+
+impl Sim<'_> {
+    pub(super) fn arrive(&mut self) {
+        let rate = self.shape.capacity() * self.condition.load;
+        let gap = -(1.0 - unit(&mut self.arrivals)).ln() / rate;
+        if self.now < Time::ZERO + self.shape.span {
+            self.after(Duration::from_secs_f64(gap), Event::Arrive);
+        } else {
+            return;
+        }
+        let urgency = self.draw_urgency();
+        let entry = self.draw_entry();
+        let id = self.next_query;
+        self.next_query += 1;
+        let span = match urgency {
+            Urgency::Archive => ARCHIVE_DEADLINE,
+            Urgency::Now | Urgency::Normal => DEADLINE,
+        };
+        let request = Request {
+            urgency,
+            arrived: self.now,
+            deadline: self.now + span,
+            started: None,
+            query: None,
+            restarts: 0,
+            ticking: Time::MAX,
+        };
+        if self.counted(&request) {
+            self.outcome.arrived += 1;
+            if let Some(outcome) = self.outcome.urgencies.get_mut(&urgency) {
+                outcome.arrived += 1;
+            }
+        }
+        self.offer(entry, id, request);
+    }
+
+    pub(super) fn draw_urgency(&mut self) -> Urgency {
+        let mut draw = unit(&mut self.arrivals);
+        for (urgency, share) in self.condition.mix {
+            draw -= share;
+            if draw < 0.0 {
+                return urgency;
+            }
+        }
+        Urgency::Normal
+    }
+
+    /// Callers use live entries; one that is frozen is noticed by nobody.
+    pub(super) fn draw_entry(&mut self) -> usize {
+        loop {
+            let entry = (self.arrivals.next_u64() % self.entries.len() as u64) as usize;
+            if !self.entries[entry].dead {
+                return entry;
+            }
+        }
+    }
+
+    pub(super) fn offer(&mut self, at: usize, id: u64, request: Request) {
+        let order = Order {
+            id: RequestId(id),
+            urgency: request.urgency,
+            deadline: request.deadline,
+            yields: match request.urgency {
+                Urgency::Now => Yields::No,
+                Urgency::Normal | Urgency::Archive => Yields::Yes,
+            },
+        };
+        let mut out = Vec::new();
+        let entry = &mut self.entries[at];
+        entry.requests.insert(id, request);
+        let decision = entry
+            .admission
+            .offer(order, self.now, &mut entry.rng, &mut out);
+        self.decided(at, id, decision);
+        self.release(at, out);
+        self.arm_expiry(at);
+    }
+
+    pub(super) fn arm_expiry(&mut self, at: usize) {
+        if let Some(wake) = self.entries[at].admission.wake() {
+            let least = self.now + Duration::from_millis(1);
+            self.at(wake.max(least), Event::Expire { entry: at });
+        }
+    }
+
+    pub(super) fn expire(&mut self, at: usize) {
+        let mut out = Vec::new();
+        let entry = &mut self.entries[at];
+        entry.admission.expire(self.now, &mut entry.rng, &mut out);
+        self.release(at, out);
+    }
+
+    pub(super) fn release(&mut self, at: usize, out: Vec<Release>) {
+        for release in out {
+            self.decided(at, release.id.0, release.decision);
+        }
+    }
+
+    pub(super) fn decided(&mut self, at: usize, id: u64, decision: Decision) {
+        match decision {
+            Decision::Run => self.start(at, id),
+            Decision::Wait => {}
+            Decision::Refuse { reason, .. } => {
+                if let Some(request) = self.entries[at].requests.remove(&id) {
+                    self.count_refusal(&request, reason);
+                }
+            }
+        }
+    }
+
+    pub(super) fn start(&mut self, at: usize, id: u64) {
+        let now = self.now;
+        let Some(request) = self.entries[at].requests.get_mut(&id) else {
+            return;
+        };
+        request.started.get_or_insert(now);
+        let deadline = request.deadline;
+        let Some(routes) = self.entries[at].pin(now) else {
+            self.end_unserved(at, id);
+            return;
+        };
+        let config = QueryConfig {
+            deadline,
+            least: Share::WHOLE,
+        };
+        let mut actions = Vec::new();
+        let entry = &mut self.entries[at];
+        let mut cx = Context {
+            table: &mut entry.table,
+            now,
+            rng: &mut entry.rng,
+            out: &mut actions,
+        };
+        let query = Query::start(routes, None, config, &mut cx);
+        if let Some(request) = entry.requests.get_mut(&id) {
+            request.query = Some(query);
+        }
+        self.act(at, id, actions);
+    }
+
+    pub(super) fn end_unserved(&mut self, at: usize, id: u64) {
+        let Some(request) = self.entries[at].requests.remove(&id) else {
+            return;
+        };
+        self.count_refusal(&request, Reason::NoSnapshot);
+        self.admission_done(at, Ran::default());
+    }
+
+    /// Passes an event to a query and does what it asks for.
+    pub(super) fn event(
+        &mut self,
+        at: usize,
+        id: u64,
+        event: impl FnOnce(&mut Query<()>, &mut Context<'_>),
+    ) {
+        let entry = &mut self.entries[at];
+        let Some(query) = entry.requests.get_mut(&id).and_then(|r| r.query.as_mut()) else {
+            return;
+        };
+        let mut actions = Vec::new();
+        let mut cx = Context {
+            table: &mut entry.table,
+            now: self.now,
+            rng: &mut entry.rng,
+            out: &mut actions,
+        };
+        event(query, &mut cx);
+        self.act(at, id, actions);
+    }
+
+    pub(super) fn act(&mut self, at: usize, id: u64, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Call {
+                    call, to, shards, ..
+                } => {
+                    let leaf = self.entries[at].leaf_of(to);
+                    let version = self.version_of(at, id);
+                    let waiting = Waiting {
+                        query: id,
+                        call,
+                        shards,
+                        version,
+                    };
+                    self.send(at, leaf, waiting);
+                }
+                Action::Cancel(call) => self.cancel(at, id, call),
+            }
+        }
+        self.follow(at, id);
+    }
+
+    pub(super) fn version_of(&self, at: usize, id: u64) -> IndexVersion {
+        let query = self.entries[at]
+            .requests
+            .get(&id)
+            .and_then(|r| r.query.as_ref());
+        query.map_or(IndexVersion(0), |q| q.routes().snapshot.version)
+    }
+
+    /// Finishes a query that has ended, or arms its timer.
+    pub(super) fn follow(&mut self, at: usize, id: u64) {
+        let Some(request) = self.entries[at].requests.get_mut(&id) else {
+            return;
+        };
+        let Some(query) = &request.query else {
+            return;
+        };
+        let Some(end) = query.end() else {
+            let wake = query.wake();
+            if wake < request.ticking || request.ticking <= self.now {
+                request.ticking = wake;
+                self.at(
+                    wake,
+                    Event::Tick {
+                        entry: at,
+                        query: id,
+                    },
+                );
+            }
+            return;
+        };
+        if end == End::Partial(Give::SnapshotLost) && request.restarts < RESTARTS {
+            request.restarts += 1;
+            request.ticking = Time::MAX;
+            self.start(at, id);
+            return;
+        }
+        self.end(at, id, end);
+    }
+
+    pub(super) fn end(&mut self, at: usize, id: u64, end: End) {
+        let Some(request) = self.entries[at].requests.remove(&id) else {
+            return;
+        };
+        let Some(query) = &request.query else {
+            return;
+        };
+        let span = self.now.since(request.started.unwrap_or(self.now));
+        let ran = Ran {
+            span,
+            calls: query.calls() as u32,
+            sheds: query.sheds(),
+        };
+        if self.counted(&request) {
+            let coverage = query.coverage();
+            self.outcome.ran += 1;
+            self.outcome.covered += coverage.answered as f64 / coverage.asked.max(1) as f64;
+            match end {
+                End::Whole => self.count_whole(&request),
+                End::Partial(_) => self.outcome.short += 1,
+            }
+        }
+        self.admission_done(at, ran);
+    }
+
+    pub(super) fn admission_done(&mut self, at: usize, ran: Ran) {
+        let mut out = Vec::new();
+        let entry = &mut self.entries[at];
+        let now = self.now;
+        entry.admission.done(ran, now, &mut entry.rng, &mut out);
+        self.release(at, out);
+    }
+
+    pub(super) fn counted(&self, request: &Request) -> bool {
+        request.arrived >= Time::ZERO + WARM
+    }
+
+    pub(super) fn count_whole(&mut self, request: &Request) {
+        let us = self.now.since(request.arrived).as_micros() as u64;
+        let us = us.clamp(1, MAX_US);
+        self.outcome.whole += 1;
+        self.outcome.latency.saturating_record(us);
+        if let Some(outcome) = self.outcome.urgencies.get_mut(&request.urgency) {
+            outcome.whole += 1;
+            outcome.latency.saturating_record(us);
+        }
+    }
+
+    pub(super) fn count_refusal(&mut self, request: &Request, reason: Reason) {
+        if !self.counted(request) {
+            return;
+        }
+        *self.outcome.refused.entry(reason).or_default() += 1;
+        let us = self.now.since(request.arrived).as_micros() as u64;
+        self.outcome.refusal.saturating_record(us.clamp(1, MAX_US));
+    }
+}
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod membership;
 mod platform;
 mod plot;
+mod queue;
 mod store;
 mod target;
 mod world;
--- a/crates/fake/src/membership.rs
+++ b/crates/fake/src/membership.rs
@@ -1,8 +1,7 @@
 //! The failure detector of many members over a lossy network, in virtual time.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::BTreeMap,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -13,6 +12,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::queue::Queue;
+
 /// One run.
 #[derive(Clone, Copy, Debug)]
 pub struct MembershipConfig {
@@ -63,34 +64,11 @@
     Deliver(usize, SocketAddr, Box<Probe>),
 }
 
-struct Item(Time, u64, Event);
-
-impl PartialEq for Item {
-    fn eq(&self, other: &Self) -> bool {
-        (self.0, self.1) == (other.0, other.1)
-    }
-}
-
-impl Eq for Item {}
-
-impl PartialOrd for Item {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Item {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.0, self.1).cmp(&(other.0, other.1))
-    }
-}
-
 struct Net {
     config: MembershipConfig,
     swims: Vec<Swim>,
     numbers: BTreeMap<SocketAddr, usize>,
-    events: BinaryHeap<Reverse<Item>>,
-    seq: u64,
+    events: Queue<Event>,
     rng: ChaCha8Rng,
     messages: u64,
     bytes: u64,
@@ -127,8 +105,7 @@
         config,
         swims: Vec::new(),
         numbers: BTreeMap::new(),
-        events: BinaryHeap::new(),
-        seq: 0,
+        events: Queue::default(),
         rng: ChaCha8Rng::seed_from_u64(config.seed),
         messages: 0,
         bytes: 0,
@@ -143,7 +120,7 @@
         swim.take_changes();
         net.swims.push(swim);
         let offset = Duration::from_micros(net.rng.next_u64() % 1_000_000);
-        net.push(Time::ZERO + offset, Event::Wake(number));
+        net.events.push(Time::ZERO + offset, Event::Wake(number));
     }
     let start = Instant::now();
     net.run();
@@ -156,11 +133,6 @@
 }
 
 impl Net {
-    fn push(&mut self, at: Time, event: Event) {
-        self.seq += 1;
-        self.events.push(Reverse(Item(at, self.seq, event)));
-    }
-
     fn stopped(&self, number: usize, now: Time) -> Option<Time> {
         let fault = Time::ZERO + FAULT;
         if number != VICTIM || now < fault {
@@ -174,7 +146,7 @@
     }
 
     fn run(&mut self) {
-        while let Some(Reverse(Item(now, _, event))) = self.events.pop() {
+        while let Some((now, event)) = self.events.pop() {
             if now >= Time::ZERO + SPAN {
                 return;
             }
@@ -183,7 +155,7 @@
             };
             if let Some(until) = self.stopped(number, now) {
                 if until < Time::MAX {
-                    self.push(until, event);
+                    self.events.push(until, event);
                 }
                 continue;
             }
@@ -199,7 +171,7 @@
             Event::Wake(_) => {
                 swim.tick(status, now, &mut self.rng, &mut out);
                 let wake = swim.wake().max(now + Duration::from_millis(1));
-                self.push(wake, Event::Wake(number));
+                self.events.push(wake, Event::Wake(number));
             }
             Event::Deliver(_, from, probe) => {
                 swim.receive(&probe, from, status, now, &mut out);
@@ -249,7 +221,7 @@
         };
         let jitter = Duration::from_micros(self.rng.next_u64() % 750);
         let event = Event::Deliver(number, from, Box::new(probe));
-        self.push(now + LATENCY + jitter, event);
+        self.events.push(now + LATENCY + jitter, event);
     }
 }
 
--- a/crates/fake/src/target.rs
+++ b/crates/fake/src/target/mod.rs
@@ -1,5 +1,7 @@
 //! The stand-in for a leaf.
 
+mod calls;
+
 use std::{
     collections::BTreeMap,
     io,
@@ -13,8 +15,8 @@
 
 use bytes::Bytes;
 use chestnut_unit::{IndexVersion, LeafId, ShardName};
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
+use http_body_util::Full;
+use hyper::{Response, service::service_fn};
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
@@ -22,7 +24,6 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
-use serde_json::{json, value::RawValue};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
@@ -308,7 +309,7 @@
     let stream = Gated { stream, silence };
     let service = service_fn(move |request| {
         let inner = inner.clone();
-        async move { Ok::<_, std::convert::Infallible>(handle(&inner, request).await) }
+        async move { Ok::<_, std::convert::Infallible>(calls::handle(&inner, request).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http2().timer(TokioTimer::new());
@@ -316,197 +317,3 @@
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
-
-async fn handle(inner: &Inner, request: Request<Incoming>) -> Reply {
-    let path = request.uri().path().to_owned();
-    let method = request.method().clone();
-    let Ok(body) = request.into_body().collect().await else {
-        return refuse(inner, "shed");
-    };
-    let body = body.to_bytes();
-    match (method, path.as_str()) {
-        (Method::POST, "/query") => query(inner, &body).await,
-        (Method::POST, "/submit") => submit(inner, &body).await,
-        (Method::POST, "/state") => state(inner),
-        (Method::GET, "/control/ledger") => reply(StatusCode::OK, &*lock(&inner.ledger)),
-        (Method::GET, "/control/config") => reply(StatusCode::OK, &*inner.config.borrow()),
-        (Method::PUT, "/control/config") => match serde_json::from_slice(&body) {
-            Ok(config) => {
-                inner.change(|now| *now = config);
-                reply(StatusCode::OK, &json!({}))
-            }
-            Err(error) => reply(
-                StatusCode::BAD_REQUEST,
-                &json!({ "error": error.to_string() }),
-            ),
-        },
-        (Method::POST, "/control/silence") => {
-            for silence in lock(&inner.silences).drain(..) {
-                silence.fall();
-            }
-            reply(StatusCode::OK, &json!({}))
-        }
-        _ => reply(StatusCode::NOT_FOUND, &json!({ "error": "not found" })),
-    }
-}
-
-#[derive(Deserialize)]
-struct QueryCall {
-    version: IndexVersion,
-    shards: Vec<ShardName>,
-    deadline_ms: u64,
-}
-
-async fn query(inner: &Inner, body: &[u8]) -> Reply {
-    let Ok(call) = serde_json::from_slice::<QueryCall>(body) else {
-        return reply(
-            StatusCode::BAD_REQUEST,
-            &json!({ "error": "not a query call" }),
-        );
-    };
-    count_late(inner);
-    thaw(inner).await;
-    if inner.config.borrow().closed {
-        return refuse(inner, "draining");
-    }
-    if !holds(inner, &call) {
-        return refuse(inner, "no_snapshot");
-    }
-    let Some(_slot) = slot(inner, call.deadline_ms).await else {
-        return refuse(inner, "shed");
-    };
-    sleep(inner.service_time()).await;
-    thaw(inner).await;
-    // Gone while it ran: the answer would be of no version at all.
-    if !holds(inner, &call) {
-        return refuse(inner, "no_snapshot");
-    }
-    lock(&inner.ledger).queries += 1;
-    let part = |shard: &ShardName| {
-        json!({ "shard": shard, "rows": [{
-            "shard": shard, "version": call.version, "leaf": inner.id,
-        }] })
-    };
-    let parts: Vec<_> = call.shards.iter().map(part).collect();
-    let draining = inner.config.borrow().draining;
-    let body = json!({ "version": call.version, "parts": parts, "draining": draining });
-    reply(StatusCode::OK, &body)
-}
-
-fn holds(inner: &Inner, call: &QueryCall) -> bool {
-    let config = inner.config.borrow();
-    let held = config.shards.get(&call.version);
-    held.is_some_and(|held| call.shards.iter().all(|shard| held.contains(shard)))
-}
-
-#[derive(Deserialize)]
-struct SubmitCall<'a> {
-    deadline_ms: u64,
-    #[serde(borrow)]
-    body: &'a RawValue,
-}
-
-#[derive(Deserialize)]
-struct Identified {
-    id: String,
-}
-
-async fn submit(inner: &Inner, body: &[u8]) -> Reply {
-    let Ok(call) = serde_json::from_slice::<SubmitCall<'_>>(body) else {
-        return reply(
-            StatusCode::BAD_REQUEST,
-            &json!({ "error": "not a submit call" }),
-        );
-    };
-    count_late(inner);
-    thaw(inner).await;
-    if inner.config.borrow().closed {
-        return refuse(inner, "draining");
-    }
-    let Some(_slot) = slot(inner, call.deadline_ms).await else {
-        return refuse(inner, "shed");
-    };
-    sleep(inner.service_time()).await;
-    thaw(inner).await;
-    let id = serde_json::from_str::<Identified>(call.body.get()).map(|i| i.id);
-    let id = id.unwrap_or_else(|_| call.body.get().to_owned());
-    *lock(&inner.ledger).applied.entry(id).or_default() += 1;
-    if inner.config.borrow().lose_answers {
-        std::future::pending::<()>().await;
-    }
-    reply(
-        StatusCode::OK,
-        &json!({ "accepted": true, "leaf": inner.id }),
-    )
-}
-
-/// Waits while the leaf is frozen.
-async fn thaw(inner: &Inner) {
-    let mut config = inner.config.subscribe();
-    let _ = config.wait_for(|config| !config.frozen).await;
-}
-
-/// A slot, unless too many wait or the deadline is over first.
-async fn slot(inner: &Inner, deadline_ms: u64) -> Option<tokio::sync::SemaphorePermit<'_>> {
-    if let Ok(slot) = inner.slots.try_acquire() {
-        return Some(slot);
-    }
-    let _waiting = Waiting::enter(inner)?;
-    let wait = Duration::from_millis(deadline_ms);
-    tokio::time::timeout(wait, inner.slots.acquire())
-        .await
-        .ok()?
-        .ok()
-}
-
-/// A call that waits for a slot.
-struct Waiting<'a>(&'a Inner);
-
-impl<'a> Waiting<'a> {
-    fn enter(inner: &'a Inner) -> Option<Self> {
-        let most = inner.config.borrow().queue;
-        let waiting = inner.waiting.fetch_add(1, Ordering::Relaxed);
-        let entered = Self(inner);
-        (waiting < most).then_some(entered)
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-fn count_late(inner: &Inner) {
-    let left = *lock(&inner.left);
-    if left.is_some_and(|at| at.elapsed() > LEAVE_GRACE) {
-        lock(&inner.ledger).late_calls += 1;
-    }
-}
-
-fn state(inner: &Inner) -> Reply {
-    let config = inner.config.borrow();
-    let busy = inner.slot_count - inner.slots.available_permits();
-    let load = busy as f64 / inner.slot_count.max(1) as f64;
-    let versions: Vec<_> = config.shards.keys().copied().collect();
-    let body = if config.lies {
-        json!({ "healthy": load > 0.5, "draining": false, "load": 1.0 - load, "versions": versions })
-    } else {
-        json!({ "healthy": true, "draining": config.draining || config.closed, "load": load,
-            "versions": versions })
-    };
-    reply(StatusCode::OK, &body)
-}
-
-fn refuse(inner: &Inner, why: &str) -> Reply {
-    lock(&inner.ledger).refused += 1;
-    let body = json!({ "not_run": true, "refused": why });
-    reply(StatusCode::SERVICE_UNAVAILABLE, &body)
-}
-
-fn reply<T: Serialize>(status: StatusCode, body: &T) -> Reply {
-    let text = serde_json::to_vec(body).expect("plain JSON");
-    let mut reply = Response::new(Full::new(Bytes::from(text)));
-    *reply.status_mut() = status;
-    reply
-}
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -1,5 +1,7 @@
 //! The failure detector.
 
+mod probing;
+
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use chestnut_conf::BookDigest;
@@ -43,9 +45,6 @@
 const SUSPECT_INTERVALS: u32 = 4;
 /// Highest self-doubt: timeouts grow up to this many times plus one.
 const DOUBT_MAX: u32 = 8;
-/// One probe in this many goes to a member that is gone, so that two halves of
-/// a split find each other again without the platform.
-const REVIVE_EVERY: u64 = 10;
 
 /// What a message asks or answers.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -284,181 +283,6 @@
         }
     }
 
-    /// A pause of this process makes everybody else look silent. Probes that
-    /// were under way then prove nothing: they are dropped, and doubt grows.
-    /// Without this a VM that is frozen for some seconds suspects its peers
-    /// when it wakes, and they spend their news on refuting it.
-    fn notice_own_pause(&mut self, now: Time) {
-        let late = now.since(self.due);
-        if late <= self.config.interval * 2 {
-            return;
-        }
-        self.pending.clear();
-        self.doubt = (self.doubt + 2).min(DOUBT_MAX);
-        let grace = self.suspect_span();
-        for until in self.suspects.values_mut() {
-            *until = (*until).max(now + grace);
-        }
-    }
-
-    fn probe_next(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
-        self.seq += 1;
-        let revive = self.seq.is_multiple_of(REVIVE_EVERY);
-        let target = if revive {
-            self.some_gone(rng).or_else(|| self.next_target(rng))
-        } else {
-            self.next_target(rng)
-        };
-        let Some(id) = target else {
-            return;
-        };
-        self.ping(self.seq, &id, status, out);
-        let pending = Pending {
-            target: id,
-            started: now,
-            repeats: 0,
-        };
-        self.pending.insert(self.seq, pending);
-    }
-
-    /// Adds to a message what is held against the member that it goes to. Only
-    /// that member can refute it, and news of it has long stopped travelling
-    /// when two halves of a split meet again.
-    fn tell_it(&self, to: &MemberId, probe: &mut Probe) {
-        let held = self.view.get(to).filter(|m| m.liveness != Liveness::Alive);
-        if let Some(member) = held
-            && !probe.news.iter().any(|said| said.id == *to)
-        {
-            probe.news.push(member.clone());
-        }
-    }
-
-    /// The next member of a shuffled round, so that each is probed once in
-    /// every round and the time to notice a death is bounded.
-    fn next_target(&mut self, rng: &mut dyn Rng) -> Option<MemberId> {
-        for _ in 0..2 {
-            while let Some(id) = self.order.pop() {
-                let present = self.view.get(&id).filter(|m| m.liveness != Liveness::Gone);
-                if present.is_some() {
-                    return Some(id);
-                }
-            }
-            self.order = self.view.others().map(|m| m.id.clone()).collect();
-            shuffle(&mut self.order, rng);
-        }
-        None
-    }
-
-    fn some_gone(&self, rng: &mut dyn Rng) -> Option<MemberId> {
-        let gone: Vec<&Member> = self
-            .view
-            .all()
-            .filter(|m| m.liveness == Liveness::Gone && !m.leaving)
-            .collect();
-        if gone.is_empty() {
-            return None;
-        }
-        Some(gone[below(rng, gone.len())].id.clone())
-    }
-
-    fn repeat_late(&mut self, status: Status, now: Time, rng: &mut dyn Rng, out: &mut Vec<Send>) {
-        let late: Vec<(u64, MemberId)> = self
-            .pending
-            .iter()
-            .filter(|(_, p)| p.repeats < REPEATS && self.repeat_at(p) <= now)
-            .map(|(seq, p)| (*seq, p.target.clone()))
-            .collect();
-        for (seq, target) in late {
-            if let Some(pending) = self.pending.get_mut(&seq) {
-                pending.repeats += 1;
-            }
-            self.ping(seq, &target, status, out);
-            self.ask_helpers(seq, &target, status, rng, out);
-        }
-    }
-
-    /// Pings a member, telling it what is held against it.
-    fn ping(&mut self, seq: u64, id: &MemberId, status: Status, out: &mut Vec<Send>) {
-        let Some(to) = self.view.get(id).map(|m| m.addresses.peers) else {
-            return;
-        };
-        let mut probe = self.message(ProbeKind::Ping, seq, status);
-        self.tell_it(id, &mut probe);
-        out.push(Send { to, probe });
-    }
-
-    fn ask_helpers(
-        &mut self,
-        seq: u64,
-        target: &MemberId,
-        status: Status,
-        rng: &mut dyn Rng,
-        out: &mut Vec<Send>,
-    ) {
-        let mut helpers: Vec<SocketAddr> = self
-            .view
-            .others()
-            .filter(|m| m.id != *target && m.liveness == Liveness::Alive)
-            .map(|m| m.addresses.peers)
-            .collect();
-        shuffle(&mut helpers, rng);
-        helpers.truncate(self.config.helpers);
-        for to in helpers {
-            let kind = ProbeKind::Relay {
-                target: target.clone(),
-            };
-            let probe = self.message(kind, seq, status);
-            out.push(Send { to, probe });
-        }
-    }
-
-    fn suspect_silent(&mut self, status: Status, now: Time, out: &mut Vec<Send>) {
-        let patience = self.config.interval * (1 + self.doubt);
-        let silent: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, p)| p.started + patience <= now)
-            .map(|(seq, _)| *seq)
-            .collect();
-        for seq in silent {
-            let Some(pending) = self.pending.remove(&seq) else {
-                continue;
-            };
-            self.doubt = (self.doubt + 1).min(DOUBT_MAX);
-            let Some(member) = self.view.get(&pending.target) else {
-                continue;
-            };
-            if member.liveness != Liveness::Alive {
-                continue;
-            }
-            let mut said = member.clone();
-            said.liveness = Liveness::Suspect;
-            self.hear(&said, now);
-            self.ping(seq, &pending.target, status, out);
-        }
-    }
-
-    fn give_up_suspects(&mut self, now: Time) {
-        let over: Vec<MemberId> = self
-            .suspects
-            .iter()
-            .filter(|(_, until)| **until <= now)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in over {
-            self.suspects.remove(&id);
-            let Some(member) = self.view.get(&id) else {
-                continue;
-            };
-            if member.liveness != Liveness::Suspect {
-                continue;
-            }
-            let mut said = member.clone();
-            said.liveness = Liveness::Gone;
-            self.hear(&said, now);
-        }
-    }
-
     /// Takes a statement, from a message or from our own detector.
     fn hear(&mut self, said: &Member, now: Time) {
         if said.id == self.view.own().id {
@@ -514,44 +338,6 @@
         self.doubt = (self.doubt + 1).min(DOUBT_MAX);
     }
 
-    fn acked(&mut self, probe: &Probe, status: Status, out: &mut Vec<Send>) {
-        if let Some(relayed) = self.relayed.remove(&probe.seq) {
-            let mut passed = self.plain(ProbeKind::Ack, relayed.seq, status);
-            passed.news.push(probe.from.clone());
-            out.push(Send {
-                to: relayed.asker,
-                probe: passed,
-            });
-            return;
-        }
-        if self.pending.remove(&probe.seq).is_some() {
-            self.doubt = self.doubt.saturating_sub(1);
-        }
-    }
-
-    fn relay(
-        &mut self,
-        target: &MemberId,
-        seq: u64,
-        asker: SocketAddr,
-        status: Status,
-        now: Time,
-        out: &mut Vec<Send>,
-    ) {
-        let Some(to) = self.view.get(target).map(|m| m.addresses.peers) else {
-            return;
-        };
-        self.seq += 1;
-        let relayed = Relayed {
-            asker,
-            seq,
-            at: now,
-        };
-        self.relayed.insert(self.seq, relayed);
-        let probe = self.message(ProbeKind::Ping, self.seq, status);
-        out.push(Send { to, probe });
-    }
-
     fn suspect_span(&self) -> Duration {
         self.config.interval * SUSPECT_INTERVALS
     }
@@ -575,14 +361,3 @@
         }
     }
 }
-
-fn shuffle<T>(items: &mut [T], rng: &mut dyn Rng) {
-    for last in (1..items.len()).rev() {
-        items.swap(last, below(rng, last + 1));
-    }
-}
-
-fn below(rng: &mut dyn Rng, bound: usize) -> usize {
-    let wide = u128::from(rng.next_u64()) * bound as u128;
-    usize::try_from(wide >> 64).expect("below the bound")
-}
--- a/crates/route/src/query.rs
+++ b/crates/route/src/query/mod.rs
@@ -1,14 +1,14 @@
 //! One fan-out over the shards of a snapshot, from first call to merge.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+mod tries;
+
+use std::{sync::Arc, time::Duration};
 
 use chestnut_unit::{Coverage, IndexVersion, Share, Time};
 use rand::Rng;
+use tries::kind_after;
 
-use crate::{
-    Attempt, Ended, Failure, Hedge, Ix, NotRun, Refusal, Routes, Sent, Table,
-    choose::choose_replica,
-};
+use crate::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
 
 /// Number of a call within its query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -101,9 +101,6 @@
 /// taken off the deadline at each hop.
 const HOP: Duration = Duration::from_millis(1);
 
-/// Time after which late shards that could not be hedged are looked at again.
-const LOOK_AGAIN: Duration = Duration::from_millis(2);
-
 #[derive(Debug)]
 struct Shard<P> {
     route: usize,
@@ -374,191 +371,6 @@
         }
     }
 
-    fn retry(&mut self, orphans: &[usize], kind: CallKind, cx: &mut Context<'_>) {
-        if cx.now + HOP >= self.config.deadline {
-            return;
-        }
-        self.call(orphans, kind, cx);
-        if kind == CallKind::Reshed {
-            self.rest(orphans, cx);
-        }
-    }
-
-    /// Has shards that every replica shed tried again after a rest, in which a
-    /// slot may come free.
-    fn rest(&mut self, orphans: &[usize], cx: &mut Context<'_>) {
-        let at = cx.now + SHED_REST;
-        if at + HOP >= self.config.deadline {
-            return;
-        }
-        for position in orphans {
-            let shard = &mut self.shards[*position];
-            let replicas = self.routes.shards[shard.route].replicas.len();
-            if shard.live == 0 && shard.tried.len() < replicas * ROUNDS {
-                shard.again = Some(at);
-                self.look = self.look.min(at);
-            }
-        }
-    }
-
-    /// Calls the shards whose rest is over.
-    fn try_again(&mut self, cx: &mut Context<'_>) {
-        let rested: Vec<usize> = (0..self.shards.len())
-            .filter(|p| self.shards[*p].again.is_some_and(|at| at <= cx.now))
-            .collect();
-        if rested.is_empty() {
-            return;
-        }
-        for position in &rested {
-            self.shards[*position].again = None;
-            self.shards[*position].rested = true;
-        }
-        self.call(&rested, CallKind::Reshed, cx);
-        self.stuck = true;
-        self.settle(cx);
-    }
-
-    /// Calls a second replica for the shards that are late, and sets the time
-    /// of the next look. The delays are fixed when a call is sent: were they
-    /// worked out anew at each look, a small rise in between would make late
-    /// shards look early, and they would wait for another whole delay.
-    fn hedge(&mut self, cx: &mut Context<'_>) {
-        self.look = Time::MAX;
-        let hedge = cx.table.config.hedge;
-        if !self.few_missing(hedge) && cx.now < self.half {
-            self.look = cx.now + LOOK_AGAIN;
-            return;
-        }
-        let late: Vec<usize> = (0..self.shards.len())
-            .filter(|position| {
-                let shard = &self.shards[*position];
-                shard.part.is_none() && shard.live > 0 && shard.due <= cx.now
-            })
-            .collect();
-        if !late.is_empty() {
-            self.call(&late, CallKind::Hedge, cx);
-        }
-        self.look = self.next_due(cx.now);
-    }
-
-    /// Whether the query waits for few of its shards or of its calls. One call
-    /// to a holder covers many shards: when it hangs, most shards may be
-    /// missing though nothing else is wrong.
-    fn few_missing(&self, hedge: Hedge) -> bool {
-        let live = |call: &&Call| matches!(call.life, Life::Live(_));
-        let calls = self.calls.iter().filter(live).count();
-        hedge.is_late(self.pending, self.shards.len()) || hedge.is_late(calls, self.first)
-    }
-
-    /// When the next pending shard is late. One that is late already and got
-    /// no hedge, for want of a replica or budget, is looked at again shortly.
-    fn next_due(&self, now: Time) -> Time {
-        let pending = self.shards.iter().filter(|shard| shard.part.is_none());
-        pending
-            .map(|shard| shard.again.unwrap_or(shard.due).max(now + LOOK_AGAIN))
-            .min()
-            .unwrap_or(Time::MAX)
-    }
-
-    /// Chooses a replica for each shard and makes one call to each replica
-    /// chosen. A shard without a replica, or whose call no budget pays, gets
-    /// none.
-    fn call(&mut self, positions: &[usize], kind: CallKind, cx: &mut Context<'_>) {
-        let mut plan: BTreeMap<Ix, Vec<usize>> = BTreeMap::new();
-        for position in positions {
-            if let Some(to) = self.choose_for(*position, kind, cx) {
-                plan.entry(to).or_default().push(*position);
-            }
-        }
-        if kind == CallKind::First {
-            cx.table.gauge.first += plan.len() as u64;
-            cx.table.gauge.shards += positions.len() as u64;
-            cx.table.hedges.earn(plan.len());
-            cx.table.retries.earn(plan.len());
-        }
-        for (to, shards) in plan {
-            if pay(kind, cx) {
-                self.send(to, shards, kind, cx);
-            }
-        }
-    }
-
-    fn choose_for(&self, position: usize, kind: CallKind, cx: &mut Context<'_>) -> Option<Ix> {
-        let shard = &self.shards[position];
-        let replicas = &self.routes.shards[shard.route].replicas;
-        let version = self.version();
-        let fresh = choose_replica(cx.table, replicas, &shard.tried, version, cx.now, cx.rng);
-        let to = match fresh {
-            Some(to) => to,
-            // Every replica was tried and none answered. What was lost with
-            // its connection may well be answered over another one.
-            None if may_repeat(kind, shard, replicas) => {
-                choose_replica(cx.table, replicas, &[], version, cx.now, cx.rng)?
-            }
-            None => return None,
-        };
-        let need = Duration::from_nanos(cx.table.expected(to, cx.now) as u64);
-        let pointless = kind == CallKind::Hedge && cx.now + need >= self.config.deadline;
-        (!pointless).then_some(to)
-    }
-
-    fn send(&mut self, to: Ix, shards: Vec<usize>, kind: CallKind, cx: &mut Context<'_>) {
-        let id = CallId(u32::try_from(self.calls.len()).expect("fewer than 2^32 calls"));
-        let delay = cx.table.hedge_delay(to, cx.now);
-        let due = delay.map_or(Time::MAX, |delay| cx.now + delay);
-        self.look = self.look.min(due);
-        for position in &shards {
-            let shard = &mut self.shards[*position];
-            shard.tried.push(to);
-            shard.live += 1;
-            shard.calls.push(id);
-            shard.due = due;
-        }
-        cx.table.sent(to);
-        cx.out.push(Action::Call {
-            call: id,
-            to,
-            shards: shards.clone(),
-            kind,
-            deadline: self.config.deadline - HOP,
-        });
-        let attempt = Attempt::plan(to).queue().send(cx.now);
-        self.calls.push(Call {
-            shards,
-            life: Life::Live(attempt),
-        });
-    }
-
-    /// Cancels the calls for a shard that has its part, if all their shards
-    /// have. Only calls that asked for this shard are looked at: looking at all
-    /// of them after every answer costs the square of the fan-out.
-    fn cancel_useless(&mut self, position: usize, cx: &mut Context<'_>) {
-        if self.shards[position].part.is_none() || self.shards[position].live == 0 {
-            return;
-        }
-        for id in self.shards[position].calls.clone() {
-            let call = &self.calls[id.0 as usize];
-            let live = matches!(call.life, Life::Live(_));
-            let wanted = |p: &usize| self.shards[*p].part.is_none();
-            if live && !call.shards.iter().any(wanted) {
-                self.cancel(id, cx);
-            }
-        }
-    }
-
-    fn cancel(&mut self, id: CallId, cx: &mut Context<'_>) {
-        let Some(attempt) = self.take(id) else {
-            return;
-        };
-        let span = cx.now.since(attempt.sent_at());
-        cx.table.cancelled(attempt.to(), span, cx.now);
-        self.ends.push(attempt.lose());
-        for position in &self.calls[id.0 as usize].shards {
-            self.shards[*position].live -= 1;
-        }
-        cx.out.push(Action::Cancel(id));
-    }
-
     /// Ends the query if nothing more can come of it.
     fn settle(&mut self, cx: &mut Context<'_>) {
         if self.end.is_some() {
@@ -634,51 +446,3 @@
         }
     }
 }
-
-/// The kind of the call that makes good a failed one.
-fn kind_after(failure: Failure) -> CallKind {
-    match failure {
-        Failure::NotSent
-        | Failure::Cut
-        | Failure::Refused(Refusal::Draining | Refusal::NoSnapshot | Refusal::Connections) => {
-            CallKind::Reroute
-        }
-        Failure::Refused(_) => CallKind::Reshed,
-        Failure::Lost => CallKind::Retry,
-    }
-}
-
-/// Rest of a shard that every replica shed: about a call, so that a slot has
-/// come free.
-const SHED_REST: Duration = Duration::from_millis(4);
-/// What a call that a target sheds costs it, as part of a call that it runs.
-const SHED_COST: f64 = 0.25;
-/// Times that each replica of a shard may be called for one query.
-const ROUNDS: usize = 2;
-
-/// Whether a shard of which every replica was tried may be tried once more:
-/// to make good a call that failed, and after a rest if it was shed.
-fn may_repeat<P>(kind: CallKind, shard: &Shard<P>, replicas: &[Ix]) -> bool {
-    let repairs = match kind {
-        CallKind::Retry | CallKind::Reroute => true,
-        CallKind::Reshed => shard.rested,
-        CallKind::First | CallKind::Hedge => false,
-    };
-    repairs && shard.tried.len() < replicas.len() * ROUNDS
-}
-
-/// Takes a call of `kind` from its budget.
-fn pay(kind: CallKind, cx: &mut Context<'_>) -> bool {
-    let paid = match kind {
-        CallKind::First | CallKind::Reroute => true,
-        CallKind::Hedge => cx.table.hedges.spend(),
-        CallKind::Retry => cx.table.retries.spend(),
-        CallKind::Reshed => cx.table.retries.spend_part(SHED_COST),
-    };
-    match kind {
-        CallKind::Hedge if paid => cx.table.gauge.hedges += 1,
-        CallKind::Retry | CallKind::Reshed if paid => cx.table.gauge.retries += 1,
-        _ => {}
-    }
-    paid
-}
--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -39,6 +39,54 @@
     }
 }
 
+/// A query over one shard whose calls are answered by hand.
+struct OneShard {
+    table: Table,
+    rng: ChaCha8Rng,
+    out: Vec<Action>,
+    query: Query<()>,
+}
+
+impl OneShard {
+    fn start(mut table: Table, replicas: Vec<Ix>, now: Time) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let mut out = Vec::new();
+        let config = QueryConfig {
+            deadline: now + Duration::from_secs(1),
+            least: Share::WHOLE,
+        };
+        let mut cx = Context {
+            table: &mut table,
+            now,
+            rng: &mut rng,
+            out: &mut out,
+        };
+        let query = Query::start(Arc::new(one_shard(replicas, V1)), None, config, &mut cx);
+        Self {
+            table,
+            rng,
+            out,
+            query,
+        }
+    }
+
+    /// Passes an event to the query; returns what it asks for.
+    fn event(
+        &mut self,
+        now: Time,
+        event: impl FnOnce(&mut Query<()>, &mut Context<'_>),
+    ) -> Vec<Action> {
+        let mut cx = Context {
+            table: &mut self.table,
+            now,
+            rng: &mut self.rng,
+            out: &mut self.out,
+        };
+        event(&mut self.query, &mut cx);
+        std::mem::take(&mut self.out)
+    }
+}
+
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
 }
@@ -54,29 +102,15 @@
     for n in 0..200 {
         table.answered(replicas[n % 3], Duration::from_millis(4), at(n as u64));
     }
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut out = Vec::new();
-    let config = QueryConfig {
-        deadline: at(2000),
-        least: Share::WHOLE,
-    };
-    let mut cx = Context {
-        table: &mut table,
-        now: at(1000),
-        rng: &mut rng,
-        out: &mut out,
-    };
-    let routes = Arc::new(one_shard(replicas.clone(), V1));
-    let query: &mut Query<()> = &mut Query::start(routes, None, config, &mut cx);
-    let due = query.wake();
+    let mut one = OneShard::start(table, replicas.clone(), at(1000));
+    one.out.clear();
+    let due = one.query.wake();
     for _ in 0..64 {
-        cx.table
-            .answered(replicas[0], Duration::from_millis(9), at(1001));
+        let span = Duration::from_millis(9);
+        one.table.answered(replicas[0], span, at(1001));
     }
-    cx.out.clear();
-    cx.now = due;
-    query.tick(&mut cx);
-    assert!(matches!(cx.out[..], [Action::Call { .. }]), "{:?}", cx.out);
+    let asked = one.event(due, |query, cx| query.tick(cx));
+    assert!(matches!(asked[..], [Action::Call { .. }]), "{asked:?}");
 }
 
 /// A shard whose replicas were all caught on silent connections is tried once
@@ -85,26 +119,13 @@
 fn a_shard_cut_off_everywhere_is_tried_again() {
     let mut table = Table::new(TableConfig::default());
     let replicas = leafs(&mut table, 1);
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut out = Vec::new();
-    let config = QueryConfig {
-        deadline: at(1000),
-        least: Share::WHOLE,
-    };
-    let mut cx = Context {
-        table: &mut table,
-        now: at(1),
-        rng: &mut rng,
-        out: &mut out,
-    };
-    let routes = Arc::new(one_shard(replicas, V1));
-    let mut query: Query<()> = Query::start(routes, None, config, &mut cx);
-    let Action::Call { call, .. } = cx.out.remove(0) else {
+    let mut one = OneShard::start(table, replicas, at(1));
+    let Action::Call { call, .. } = one.out.remove(0) else {
         panic!("no call");
     };
-    query.fail(call, Failure::Cut, &mut cx);
-    assert_eq!(query.end(), None);
-    assert!(matches!(cx.out[..], [Action::Call { .. }]));
+    let asked = one.event(at(2), |query, cx| query.fail(call, Failure::Cut, cx));
+    assert_eq!(one.query.end(), None);
+    assert!(matches!(asked[..], [Action::Call { .. }]), "{asked:?}");
 }
 
 /// A request that can't be finished ends at once, not at its deadline.
@@ -112,29 +133,17 @@
 fn what_is_given_up_ends_at_once() {
     let mut table = Table::new(TableConfig::default());
     let replicas = leafs(&mut table, 3);
-    let mut rng = ChaCha8Rng::seed_from_u64(1);
-    let mut out = Vec::new();
-    let config = QueryConfig {
-        deadline: at(10_000),
-        least: Share::WHOLE,
-    };
-    let mut cx = Context {
-        table: &mut table,
-        now: at(1),
-        rng: &mut rng,
-        out: &mut out,
-    };
-    let routes = Arc::new(one_shard(replicas, V1));
-    let mut query: Query<()> = Query::start(routes, None, config, &mut cx);
-    while query.end().is_none() {
-        let Some(Action::Call { call, .. }) = cx.out.pop() else {
+    let mut one = OneShard::start(table, replicas, at(1));
+    let mut asked = std::mem::take(&mut one.out);
+    while one.query.end().is_none() {
+        let Some(Action::Call { call, .. }) = asked.pop() else {
             panic!("neither a call nor the end");
         };
         let refusal = Failure::Refused(Refusal::NoSnapshot);
-        query.fail(call, refusal, &mut cx);
+        asked = one.event(at(2), |query, cx| query.fail(call, refusal, cx));
     }
-    assert_eq!(query.end(), Some(End::Partial(Give::SnapshotLost)));
-    assert!(query.not_run().is_some());
+    assert_eq!(one.query.end(), Some(End::Partial(Give::SnapshotLost)));
+    assert!(one.query.not_run().is_some());
 }
 
 /// The newest version is pinned only while each of its shards has a back end
--- /dev/null
+++ b/crates/scene/src/stage/world.rs
@@ -0,0 +1,85 @@
+//! The deployment of a scenario, as the platform holds it at first.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use chestnut_conf::{Kind, ObjectKey, Stored};
+use chestnut_fake::World;
+use serde_json::json;
+
+use crate::command::Setup;
+
+/// The organisation of every scenario.
+pub(crate) const ORG: &str = "galway";
+/// The service of every scenario.
+pub(super) const SERVICE: &str = "ladder";
+
+/// The world that a setup describes.
+pub(super) fn world_of(setup: &Setup) -> World {
+    let host = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let domains = ["dub-a", "dub-b", "kdr-c"];
+    let entries: String = (0..setup.entries)
+        .map(|n| {
+            let domain = domains[n % domains.len()];
+            let (callers, operators, peers) = (9100 + n, 9200 + n, 9300 + n);
+            format!(
+                "[[entry]]\nmember = \"entry-{n}\"\ndomain = \"{domain}\"\n\
+                 callers = \"{host}:{callers}\"\noperators = \"{host}:{operators}\"\n\
+                 peers = \"{host}:{peers}\"\n"
+            )
+        })
+        .collect();
+    let text = format!(
+        "domains = {domains:?}\nplatform = \"{host}:9000\"\n[[service]]\nname = \"{SERVICE}\"\n\
+         shards = {}\nreplicas = {}\nleafs = {}\nslots = 5\nconnections = {}\nopen_ms = 6\n\
+         median_ms = 4.0\ngroup = {}\nport = 9400\n{entries}",
+        setup.shards,
+        setup.replicas,
+        setup.shards * setup.replicas,
+        setup.connections,
+        setup.group,
+    );
+    World::parse(&text).expect("the text is a world")
+}
+
+/// The template and the organisation that every scenario starts with.
+pub(super) fn edited_objects(setup: &Setup) -> Vec<(ObjectKey, serde_json::Value)> {
+    let unconfirmed = format!("{}ms", setup.unconfirmed.as_millis());
+    let call = |kind: &str, answer: serde_json::Value| {
+        json!({ "kind": kind, "services": [SERVICE], "urgency": "now", "answer": answer,
+            "refuse": [], "deadline": "1000ms" })
+    };
+    let template = json!({
+        "services": [SERVICE],
+        "calls": {
+            "finals": call("query", json!("whole")),
+            "most": call("query", json!({ "least": "50%" })),
+            "score": call("submit", json!("whole")),
+        },
+        "limits": { "rate": "100000/s", "flight": 100_000 },
+        "unconfirmed": unconfirmed,
+    });
+    vec![
+        stored(Kind::Template, "league", template),
+        stored(Kind::Organisation, ORG, organisation(1)),
+    ]
+}
+
+/// The organisation with a rate by which edits differ.
+pub(crate) fn organisation(rate: u64) -> serde_json::Value {
+    json!({
+        "template": "league", "services": [SERVICE],
+        "limits": { "rate": format!("{rate}/s"), "flight": 100_000 },
+    })
+}
+
+fn stored(kind: Kind, name: &str, spec: serde_json::Value) -> (ObjectKey, serde_json::Value) {
+    let key = ObjectKey {
+        kind,
+        name: name.to_owned(),
+    };
+    let stored = Stored {
+        spec,
+        edits: Vec::new(),
+    };
+    (key, serde_json::to_value(stored).expect("plain JSON"))
+}
