Leave refusal records with a peer while the platform is out

Cause: an entry that died in an outage took the records of its refusals with it. Now a batch that the platform does not take is left with a peer at random, the next one is cut, and both write it later under its name, which is taken once.

--- a/crates/audit/src/journal.rs
+++ b/crates/audit/src/journal.rs
@@ -68,6 +68,7 @@
     owner: (MemberId, Incarnation),
     waiting: VecDeque<(Reason, Record)>,
     flying: Option<Batch>,
+    entrusted: VecDeque<Batch>,
     gap: Option<Gap>,
     dropped: u64,
     written: u64,
@@ -84,6 +85,7 @@
             owner: (member, incarnation),
             waiting: VecDeque::new(),
             flying: None,
+            entrusted: VecDeque::new(),
             gap: None,
             dropped: 0,
             written: 0,
@@ -92,19 +94,20 @@
         }
     }
 
-    /// Records waiting, those in the batch under way included.
+    /// Records that the platform has not confirmed.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.waiting.len() + self.flying.as_ref().map_or(0, |b| b.records.len())
+        let batches = self.flying.iter().chain(&self.entrusted);
+        self.waiting.len() + batches.map(|batch| batch.records.len()).sum::<usize>()
     }
 
     /// The detail of a record that still waits for the platform.
     #[must_use]
     pub fn find(&self, receipt: &str) -> Option<String> {
-        let flying = self.flying.iter().flat_map(|batch| &batch.records);
+        let batches = self.flying.iter().chain(&self.entrusted);
+        let cut = batches.flat_map(|batch| &batch.records);
         let waiting = self.waiting.iter().map(|(_, record)| record);
-        flying
-            .chain(waiting)
+        cut.chain(waiting)
             .find(|record| record.receipt == receipt)
             .map(|record| record.detail.clone())
     }
@@ -123,7 +126,7 @@
 
     /// Adds a record, dropping the oldest waiting one if there are too many.
     pub fn add(&mut self, reason: Reason, record: Record, wall: Wall) {
-        if self.waiting.len() >= self.config.most
+        if self.waiting() >= self.config.most
             && let Some((reason, _)) = self.waiting.pop_front()
         {
             self.note_drop(reason, wall);
@@ -138,10 +141,7 @@
         if now < self.due {
             return None;
         }
-        if self.flying.is_none() {
-            self.flying = self.cut();
-        }
-        let batch = self.flying.clone()?;
+        let batch = self.last_batch()?;
         let spread = WRITE_GAP * u32::try_from(members).unwrap_or(u32::MAX);
         self.due = now + self.config.interval.max(spread);
         Some(batch)
@@ -150,11 +150,19 @@
     /// The batch to write at a planned stop, due or not.
     pub fn last_batch(&mut self) -> Option<Batch> {
         if self.flying.is_none() {
-            self.flying = self.cut();
+            self.flying = self.cut().or_else(|| self.entrusted.pop_front());
         }
         self.flying.clone()
     }
 
+    /// A peer has a copy of the batch under way, which the platform did not
+    /// take. It is written again later, by this entry or, if that dies first,
+    /// by the peer; the next records come first.
+    pub fn entrust(&mut self, name: &str) {
+        let batch = self.flying.take_if(|batch| batch.name == name);
+        self.entrusted.extend(batch);
+    }
+
     /// The platform confirmed a batch.
     pub fn confirm(&mut self, name: &str) {
         if let Some(batch) = self.flying.take_if(|batch| batch.name == name) {
@@ -191,3 +199,54 @@
 /// Least time between two writes of all entries together: 50 a second, a
 /// tenth of the platform's writes.
 const WRITE_GAP: Duration = Duration::from_millis(20);
+
+/// Batches of other entries that this one keeps copies of.
+#[derive(Clone, Debug)]
+pub struct Copies {
+    batches: VecDeque<Batch>,
+    most: usize,
+    dropped: u64,
+}
+
+impl Copies {
+    /// Keeps at most `most` batches; more drop the oldest, which their own
+    /// entry still has while it lives.
+    #[must_use]
+    pub fn new(most: usize) -> Self {
+        Self {
+            batches: VecDeque::new(),
+            most,
+            dropped: 0,
+        }
+    }
+
+    /// Takes a copy.
+    pub fn add(&mut self, batch: Batch) {
+        if self.batches.iter().any(|held| held.name == batch.name) {
+            return;
+        }
+        if self.batches.len() >= self.most {
+            self.batches.pop_front();
+            self.dropped += 1;
+        }
+        self.batches.push_back(batch);
+    }
+
+    /// A batch to write. The platform takes each name once, so writing one
+    /// that its own entry has written changes nothing.
+    #[must_use]
+    pub fn next(&self) -> Option<Batch> {
+        self.batches.front().cloned()
+    }
+
+    /// The platform has a batch.
+    pub fn confirm(&mut self, name: &str) {
+        self.batches.retain(|batch| batch.name != name);
+    }
+
+    /// Copies dropped for want of room.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+}
--- a/crates/audit/src/lib.rs
+++ b/crates/audit/src/lib.rs
@@ -10,5 +10,5 @@
 mod journal;
 mod receipt;
 
-pub use journal::{Batch, Gap, Journal, JournalConfig, Record};
+pub use journal::{Batch, Copies, Gap, Journal, JournalConfig, Record};
 pub use receipt::{CheckKey, Receipt, ReceiptError};
--- a/crates/fake/src/store.rs
+++ b/crates/fake/src/store.rs
@@ -110,6 +110,12 @@
         self.latest(key, self.revision()).cloned()
     }
 
+    /// Every object of a kind, whatever the faults.
+    #[must_use]
+    pub fn peek_all(&self, kind: Kind) -> Vec<Object> {
+        self.newest(kind, self.revision())
+    }
+
     /// Reads one object.
     ///
     /// # Errors
@@ -130,14 +136,8 @@
         self.counts.lists += 1;
         self.up()?;
         let revision = self.readable();
-        let mut latest: BTreeMap<&ObjectKey, &Object> = BTreeMap::new();
-        for object in &self.history[..revision as usize] {
-            if object.key.kind == kind {
-                latest.insert(&object.key, object);
-            }
-        }
         Ok(Listing {
-            objects: latest.into_values().cloned().collect(),
+            objects: self.newest(kind, revision),
             revision,
         })
     }
@@ -204,6 +204,16 @@
         self.revision().saturating_sub(self.fault.stale)
     }
 
+    fn newest(&self, kind: Kind, revision: u64) -> Vec<Object> {
+        let mut newest: BTreeMap<&ObjectKey, &Object> = BTreeMap::new();
+        for object in &self.history[..revision as usize] {
+            if object.key.kind == kind {
+                newest.insert(&object.key, object);
+            }
+        }
+        newest.into_values().cloned().collect()
+    }
+
     fn latest(&self, key: &ObjectKey, revision: u64) -> Option<&Object> {
         self.history[..revision as usize]
             .iter()
--- a/crates/port/schema/peer.capnp
+++ b/crates/port/schema/peer.capnp
@@ -151,4 +151,6 @@
   dispatch @6 (ask :Dispatch) -> (answer :Dispatched);
   # Leafs that the platform's list says are leaving.
   leaving @7 (leafs :List(Text)) -> ();
+  # A batch of refusal records, JSON, that the platform did not take.
+  records @8 (batch :Data) -> ();
 }
--- a/crates/port/src/peer.rs
+++ b/crates/port/src/peer.rs
@@ -135,6 +135,9 @@
     /// Passes on which leafs the platform's list calls leaving.
     fn leaving(&self, to: SocketAddr, leafs: Vec<LeafId>) -> BoxFuture<'_, Result<(), PeerError>>;
 
+    /// Leaves a copy of a batch of refusal records, JSON, with a peer.
+    fn records(&self, to: SocketAddr, batch: Bytes) -> BoxFuture<'_, Result<(), PeerError>>;
+
     /// Hands tickets to an heir, and returns the life that took them over.
     fn adopt(
         &self,
@@ -166,6 +169,9 @@
     /// Takes objects that have just been accepted elsewhere.
     fn push(&self, objects: Vec<Object>);
 
+    /// Takes a copy of a peer's batch of refusal records, JSON.
+    fn records(&self, batch: &[u8]);
+
     /// Takes over the tickets of a peer that leaves, and returns this entry's
     /// life.
     fn adopt(&self, tickets: Vec<Handed>) -> Incarnation;
--- a/crates/port/src/peer_capnp.rs
+++ b/crates/port/src/peer_capnp.rs
@@ -4838,6 +4838,8 @@
     pub type DispatchResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::dispatch_results::Owned>;
     pub type LeavingParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::leaving_params::Owned>;
     pub type LeavingResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::leaving_results::Owned>;
+    pub type RecordsParams<> = ::capnp::capability::Params<crate::peer_capnp::peer::records_params::Owned>;
+    pub type RecordsResults<> = ::capnp::capability::Results<crate::peer_capnp::peer::records_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -4911,6 +4913,9 @@
         pub fn leaving_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::leaving_params::Owned,crate::peer_capnp::peer::leaving_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn records_request(&self) -> ::capnp::capability::Request<crate::peer_capnp::peer::records_params::Owned,crate::peer_capnp::peer::records_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn query(self: ::capnp::capability::Rc<Self>, _: QueryParams<>, _: QueryResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::query not implemented".to_string()))) }
@@ -4921,6 +4926,7 @@
         fn adopt(self: ::capnp::capability::Rc<Self>, _: AdoptParams<>, _: AdoptResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::adopt not implemented".to_string()))) }
         fn dispatch(self: ::capnp::capability::Rc<Self>, _: DispatchParams<>, _: DispatchResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::dispatch not implemented".to_string()))) }
         fn leaving(self: ::capnp::capability::Rc<Self>, _: LeavingParams<>, _: LeavingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::leaving not implemented".to_string()))) }
+        fn records(self: ::capnp::capability::Rc<Self>, _: RecordsParams<>, _: RecordsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method peer::Server::records not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -4958,6 +4964,7 @@
                 5 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::adopt(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 6 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::dispatch(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 7 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::leaving(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                8 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::records(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -8179,4 +8186,375 @@
             pub(crate) const TYPE_ID: u64 = 0x980c_65c4_4ce1_5ea4;
         }
     }
+
+    pub mod records_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_batch(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_batch(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_batch(&mut self, value: ::capnp::data::Reader<'_>)  {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_batch(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_batch(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 32] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(209, 151, 251, 82, 196, 163, 142, 190),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(114, 101, 99, 111, 114, 100, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(98, 97, 116, 99, 104, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbe8e_a3c4_52fb_97d1;
+        }
+    }
+
+    pub mod records_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(8, 230, 226, 135, 92, 201, 140, 213),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
+                ::capnp::word(114, 101, 99, 111, 114, 100, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xd58c_c95c_87e2_e608;
+        }
+    }
 }
--- a/crates/port/src/peer_rpc.rs
+++ b/crates/port/src/peer_rpc.rs
@@ -196,6 +196,16 @@
         .boxed()
     }
 
+    fn records(&self, to: SocketAddr, batch: Bytes) -> BoxFuture<'_, Result<(), PeerError>> {
+        self.run(to, CONTROL_WAIT, move |client| async move {
+            let mut request = client.records_request();
+            request.get().set_batch(&batch);
+            request.send().promise.await?;
+            Ok(())
+        })
+        .boxed()
+    }
+
     fn adopt(
         &self,
         to: SocketAddr,
--- a/crates/port/src/peer_serve.rs
+++ b/crates/port/src/peer_serve.rs
@@ -64,6 +64,15 @@
         Ok(())
     }
 
+    async fn records(
+        self: Rc<Self>,
+        params: peer::RecordsParams,
+        _: peer::RecordsResults,
+    ) -> Result<(), Error> {
+        self.service.records(params.get()?.get_batch()?);
+        Ok(())
+    }
+
     async fn members(
         self: Rc<Self>,
         _: peer::MembersParams,
--- a/crates/scene/src/command.rs
+++ b/crates/scene/src/command.rs
@@ -183,6 +183,8 @@
     InForce(u64, Vec<usize>),
     /// All entries that run must have the same version in force.
     Converged,
+    /// Every refusal told so far must be on record in the platform.
+    Recorded,
     /// An entry must know that many working members, itself included.
     Members(usize, usize),
 }
@@ -413,6 +415,7 @@
             Command::InForce(version, entries.map_err(|e| e.to_string())?)
         }
         "converged" => Command::Converged,
+        "recorded" => Command::Recorded,
         "members" => Command::Members(words.parse("an entry")?, words.parse("a number")?),
         other => return Err(format!("{other:?} can't be expected")),
     })
--- a/crates/scene/src/judge.rs
+++ b/crates/scene/src/judge.rs
@@ -25,6 +25,7 @@
     /// Refusals judged.
     pub refusals: u64,
     not_run: BTreeSet<u64>,
+    pub(crate) receipts: BTreeSet<String>,
     versions: BTreeMap<usize, u64>,
 }
 
@@ -44,6 +45,7 @@
                 if refused.receipt.is_empty() {
                     self.wrong.push(format!("query {number}: no receipt"));
                 }
+                self.receipts.insert(refused.receipt.clone());
             }
         }
     }
--- a/crates/scene/src/links.rs
+++ b/crates/scene/src/links.rs
@@ -195,6 +195,13 @@
         .boxed()
     }
 
+    fn records(&self, to: SocketAddr, batch: Bytes) -> BoxFuture<'_, Result<(), PeerError>> {
+        self.call(to, CONTROL_WAIT, async move |p: Process| {
+            p.service.records(&batch);
+        })
+        .boxed()
+    }
+
     fn adopt(
         &self,
         to: SocketAddr,
--- a/crates/scene/src/run.rs
+++ b/crates/scene/src/run.rs
@@ -119,6 +119,7 @@
             } => self.submit(&ticket, entry, &body, want, later).await?,
             Command::Applied(body, times, most) => self.applied(&body, times, most)?,
             Command::InForce(version, entries) => self.in_force(version, &entries).await?,
+            Command::Recorded => self.recorded().await?,
             Command::Converged => self.converged().await?,
             Command::Members(entry, count) => self.members(entry, count).await?,
         }
@@ -314,6 +315,22 @@
         }
     }
 
+    async fn recorded(&self) -> Result<(), String> {
+        /// Time in which records reach the platform once it is up.
+        const RECORDED: Duration = Duration::from_secs(10);
+        let until = Instant::now() + RECORDED;
+        loop {
+            let missing = self.stage.unrecorded();
+            if missing == 0 {
+                return Ok(());
+            }
+            if Instant::now() >= until {
+                return Err(format!("{missing} refusals are not on record"));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
     async fn converged(&self) -> Result<(), String> {
         let entries: Vec<usize> = self.stage.entries.keys().copied().collect();
         let newest = entries.iter().map(|e| self.stage.version_at(*e)).max();
--- a/crates/scene/src/stage/mod.rs
+++ b/crates/scene/src/stage/mod.rs
@@ -457,6 +457,18 @@
         times.sum()
     }
 
+    /// Refusals told so far that no record in the platform names.
+    pub(crate) fn unrecorded(&self) -> usize {
+        let objects = lock(&self.platform.store).peek_all(Kind::Refusal);
+        let recorded: BTreeSet<String> = objects
+            .iter()
+            .flat_map(|object| object.value["records"].as_array().into_iter().flatten())
+            .filter_map(|record| record["receipt"].as_str().map(str::to_owned))
+            .collect();
+        let verdict = lock(&self.verdict);
+        verdict.receipts.difference(&recorded).count()
+    }
+
     /// Name of an entry.
     pub(crate) fn member(&self, number: usize) -> &MemberId {
         &self.world.entry[number].member
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -25,6 +25,7 @@
 mod place;
 mod ports;
 mod query;
+mod records;
 mod refuse;
 mod service;
 mod shared;
--- a/crates/tier/src/shared.rs
+++ b/crates/tier/src/shared.rs
@@ -8,7 +8,7 @@
     },
 };
 
-use chestnut_audit::{CheckKey, Journal, JournalConfig};
+use chestnut_audit::{CheckKey, Copies, Journal, JournalConfig};
 use chestnut_conf::{Book, BookDigest, Kind, OrgPolicy, Settings};
 use chestnut_fleet::{Confirm, Entry, Member, Status, Swim, SwimConfig, order_entries};
 use chestnut_once::{Keeper, KeeperConfig};
@@ -22,6 +22,10 @@
 
 use crate::{metrics::Metrics, service::Service};
 
+/// Batches of refusal records of other entries that are kept: with 2,000
+/// records each about 20 MB at most.
+const COPIES: usize = 32;
+
 /// What was last read of one kind.
 #[derive(Clone, Copy)]
 struct KindRead {
@@ -116,6 +120,7 @@
     pub(crate) keeper: Mutex<Keeper>,
     pub(crate) dispatches: Mutex<Dispatches>,
     pub(crate) journal: Mutex<Journal>,
+    pub(crate) copies: Mutex<Copies>,
     pub(crate) leaving: Mutex<BTreeSet<LeafId>>,
     pub(crate) check: CheckKey,
     pub(crate) metrics: Metrics,
@@ -166,6 +171,7 @@
             swim: Mutex::new(Swim::new(swim, own.clone(), now)),
             keeper: Mutex::new(Keeper::new(own.id.clone(), own.incarnation, keeper)),
             journal: Mutex::new(Journal::new(journal, own.id.clone(), own.incarnation)),
+            copies: Mutex::new(Copies::new(COPIES)),
             metrics: Metrics::new(),
             settings,
             log,
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -27,7 +27,7 @@
     peers::Served,
     place,
     ports::Ports,
-    query,
+    query, records,
     shared::{Differs, Phase, Shared, SharedPorts, lock},
     spread,
     status::{self, Status},
@@ -36,8 +36,6 @@
 
 /// Peers that differ and wait to be asked; more say so again.
 const DIFFERS: usize = 16;
-/// Time between two looks at refusal records.
-const RECORDS_LOOK: Duration = Duration::from_millis(250);
 /// Time between two looks at what is still in flight.
 const FLIGHT_LOOK: Duration = Duration::from_millis(20);
 /// Peers that are told directly that this entry is leaving.
@@ -111,7 +109,7 @@
         set.spawn(watch::run(shared.clone()));
         set.spawn(leafs::watch(shared.clone()));
         set.spawn(spread::fetch(shared.clone(), differing));
-        set.spawn(write_records(shared.clone()));
+        set.spawn(records::run(shared.clone()));
         let tasks = Tasks {
             shared: shared.clone(),
             _set: set,
@@ -240,7 +238,10 @@
     /// farewell.
     pub async fn stop(&self) {
         let shared = &self.shared;
-        if timeout(LAST_RECORDS, write_last(shared)).await.is_err() {
+        if timeout(LAST_RECORDS, records::write_last(shared))
+            .await
+            .is_err()
+        {
             warn!(shared.log, "fleet: the last records could not be written");
         }
         let farewells = lock(&shared.swim).stop(shared.status(), FAREWELLS);
@@ -337,43 +338,6 @@
     }
 }
 
-/// Writes refusal records to the platform, batch by batch.
-async fn write_records(shared: Arc<Shared>) {
-    loop {
-        sleep(RECORDS_LOOK).await;
-        let members = lock(&shared.swim).view.present().count();
-        let batch = lock(&shared.journal).next_batch(members, shared.now());
-        if let Some(batch) = batch {
-            write_batch(&shared, batch).await;
-        }
-    }
-}
-
-async fn write_last(shared: &Shared) {
-    loop {
-        let batch = lock(&shared.journal).last_batch();
-        let Some(batch) = batch else {
-            return;
-        };
-        write_batch(shared, batch).await;
-    }
-}
-
-async fn write_batch(shared: &Shared, batch: chestnut_audit::Batch) {
-    let key = chestnut_conf::ObjectKey {
-        kind: chestnut_conf::Kind::Refusal,
-        name: batch.name.clone(),
-    };
-    let value = serde_json::to_value(&batch).expect("records are plain JSON");
-    match shared.platform.put(key, 0, value).await {
-        // A conflict means that an earlier try of this batch took effect.
-        Ok(_) | Err(chestnut_port::PlatformError::Conflict { .. }) => {
-            lock(&shared.journal).confirm(&batch.name);
-        }
-        Err(_) => sleep(RECORDS_LOOK).await,
-    }
-}
-
 /// Makes a name for an edit whose operator gave none.
 pub(crate) fn edit_id(shared: &Shared) -> String {
     format!("{}-{:016x}", shared.own.id, shared.rng().next_u64())
