Hedge later and more widely, and slow back ends as soon as usual ones

And a back end that is known to be slow was hedged only after its own long time. Ruled out: a fixed delay a millisecond below the best, which collapses at 5%.

--- a/crates/route/src/hedge.rs
+++ b/crates/route/src/hedge.rs
@@ -34,6 +34,11 @@
 /// Shortest delay: below it the timers of the runtime decide, not the policy.
 const DELAY_MIN: Duration = Duration::from_micros(500);
 
+/// A call to a back end that is known to be slow is late when a usual one
+/// would be, taken as this multiple of the median call: the query waits for
+/// the call, however well its slowness was foreseen.
+const USUAL: f64 = 1.5;
+
 impl Hedge {
     /// Delay from the sending of a call that is expected to take `expected`
     /// to its hedge. `excess` are the times by which calls of the service
@@ -51,8 +56,10 @@
             Self::Fixed(delay) => Some(delay),
             Self::Late { .. } if calls.count() < SAMPLES_NEEDED => Some(DELAY_UNKNOWN),
             Self::Late { times, .. } => {
-                let cap = calls.median().mul_f64(times);
-                Some((expected + excess.high().min(cap)).max(DELAY_MIN))
+                let median = calls.median();
+                let usual = expected.min(median.mul_f64(USUAL));
+                let slack = excess.high().min(median.mul_f64(times));
+                Some((usual + slack).max(DELAY_MIN))
             }
         }
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -109,8 +109,8 @@
         Self {
             choice: Choice::PeakEwma,
             hedge: Hedge::Late {
-                times: 0.6,
-                missing: 0.34,
+                times: 1.2,
+                missing: 0.6,
             },
             hedge_share: Share::from_permille(80),
             retry_share: Share::from_permille(100),
@@ -125,7 +125,7 @@
 /// The quantile of call durations after which a call counts as late. Its
 /// complement is what hedges cost while nothing is wrong; the budget is well
 /// above it, so that it is not spent when stragglers come.
-const LATE_QUANTILE: f64 = 0.975;
+const LATE_QUANTILE: f64 = 0.99;
 /// Points of failure in a row after which a back end is evicted.
 const POINTS_MAX: u32 = 9;
 /// Points of a call that was lost or could not be sent.
