--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -3,6 +3,17 @@
 //!
 //! The crate checks and orders configuration. It reads no file of its own
 //! accord except in [`Settings::open`], and talks to nobody.
+//!
+//! ```
+//! use chestnut_conf::{Applied, Book, Kind, Object, ObjectKey};
+//!
+//! let key = ObjectKey { kind: Kind::Template, name: "league".to_owned() };
+//! let version = |version| Object { key: key.clone(), version, value: version.into() };
+//! let mut book = Book::default();
+//! assert_eq!(book.apply(version(2)), Applied::New);
+//! assert_eq!(book.apply(version(1)), Applied::Old);
+//! assert_eq!(book.get(Kind::Template, "league").unwrap().version, 2);
+//! ```
 
 #![warn(clippy::unwrap_used)]
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,11 @@
 //! failure detector follows SWIM (Das, Gupta, Motivala, 2002) with the
 //! self-doubt of Lifeguard (Dadgar, Phillips, Currey, 2017), so that the cost
 //! for one member does not grow with their number.
+//!
+//! ```
+//! // Forty connections, four for each holder, one share spared.
+//! assert_eq!(chestnut_fleet::holders_wanted(40, 4), 9);
+//! ```
 
 #![warn(clippy::unwrap_used)]
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,6 +8,21 @@
 //! - [`Table`] holds what is known of each back end; [`Choice`] picks one.
 //! - [`Query`] drives one fan-out: calls, hedges, retries, merge, end.
 //! - [`Attempt`] and [`NotRun`] make "not run" true by construction.
+//!
+//! It is not for talking to anybody: `chestnut-tier` runs it over the ports.
+//!
+//! ```
+//! use chestnut_route::{Attempt, Backend, NotRun, Table, TableConfig};
+//! use chestnut_unit::{LeafId, Time};
+//!
+//! let mut table = Table::new(TableConfig::default());
+//! let leaf = Backend::Leaf(LeafId::new("ladder-l000").unwrap());
+//! let ix = table.add(leaf, 5, Time::ZERO);
+//! let refused = Attempt::plan(ix).queue().send(Time::ZERO).refuse_unrun();
+//! let lost = Attempt::plan(ix).queue().send(Time::ZERO).lose();
+//! assert!(NotRun::prove(&[refused]).is_some());
+//! assert!(NotRun::prove(&[refused, lost]).is_none());
+//! ```
 
 #![warn(clippy::unwrap_used)]
 
--- a/crates/unit/src/id.rs
+++ b/crates/unit/src/id.rs
@@ -2,34 +2,23 @@
 
 use std::{fmt, str::FromStr, sync::Arc};
 
+use displaydoc::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// Longest accepted name, in bytes. Names are metric labels and log fields.
 const NAME_MAX: usize = 96;
 
 /// Why a string is not a name.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum NameError {
-    /// The string is empty.
+    /// a name can't be empty
     Empty,
-    /// The string is longer than 96 bytes.
+    /// a name has at most 96 bytes
     Long,
-    /// The string holds a character outside letters, digits and `-_.:/`.
+    /// {0:?} can't be in a name: use letters, digits and -_.:/
     Char(char),
 }
 
-impl fmt::Display for NameError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Empty => write!(f, "a name can't be empty"),
-            Self::Long => write!(f, "a name has at most {NAME_MAX} bytes"),
-            Self::Char(c) => {
-                write!(f, "{c:?} can't be in a name: use letters, digits and -_.:/")
-            }
-        }
-    }
-}
-
 impl std::error::Error for NameError {}
 
 fn check(name: &str) -> Result<(), NameError> {
--- a/crates/unit/src/share.rs
+++ b/crates/unit/src/share.rs
@@ -2,22 +2,17 @@
 
 use std::{fmt, str::FromStr};
 
+use displaydoc::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 /// A share from 0% to 100%, kept in tenths of a percent, written `97.5%`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Share(u16);
 
-/// A text that is not a share.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// {0:?} is not a share such as 97.5%
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub struct ShareError(String);
 
-impl fmt::Display for ShareError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} is not a share such as 97.5%", self.0)
-    }
-}
-
 impl std::error::Error for ShareError {}
 
 impl Share {
--- a/crates/unit/src/size.rs
+++ b/crates/unit/src/size.rs
@@ -2,21 +2,16 @@
 
 use std::{fmt, str::FromStr, time::Duration};
 
+use displaydoc::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-/// A text that is not a size, rate or span.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// {text:?} is not {want}
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub struct UnitError {
     text: String,
     want: &'static str,
 }
 
-impl fmt::Display for UnitError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:?} is not {}", self.text, self.want)
-    }
-}
-
 impl std::error::Error for UnitError {}
 
 /// Splits `text` into its whole number and its unit.
