--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -35,6 +35,6 @@
 pub use service::{Leaf, Service};
 pub use settings::{
     Control, EntrySettings, Limits, Listen, LogFormat, LogLevel, LogSettings, PlatformSettings,
-    RouteSettings, Settings,
+    ReplicaChoice, RouteSettings, Settings,
 };
 pub use template::{Answer, Call, CallKind, OrgLimits, Template};
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -113,6 +113,18 @@
     }
 }
 
+/// How a replica is chosen. All but the first are there to compare with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ReplicaChoice {
+    /// By the highest recent duration and the outstanding calls.
+    PeakEwma,
+    /// By the outstanding calls alone.
+    LeastOutstanding,
+    /// In turn.
+    RoundRobin,
+}
+
 /// Routing.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -121,6 +133,8 @@
     pub hedge: Share,
     /// Extra leaf calls that retries may add, as a share of first calls.
     pub retry: Share,
+    /// How a replica is chosen.
+    pub choice: ReplicaChoice,
     /// Requests that may wait for admission, for each service.
     pub queue: usize,
     /// Most connections that this entry opens to one leaf.
@@ -132,6 +146,7 @@
         Self {
             hedge: Share::from_permille(80),
             retry: Share::from_permille(100),
+            choice: ReplicaChoice::PeakEwma,
             queue: 256,
             pool: 2,
         }
--- a/crates/tier/src/admin.rs
+++ b/crates/tier/src/admin.rs
@@ -14,6 +14,7 @@
     api::EditError,
     edge,
     edit::{self, EditRequest},
+    metrics::cpu_ms,
     shared::lock,
     status,
     tier::{Tier, edit_id},
@@ -85,6 +86,7 @@
     metrics.probe_bytes.set(status.probe_bytes as i64);
     metrics.records.set(status.records_waiting as i64);
     metrics.in_flight.set(i64::from(status.in_flight));
+    metrics.cpu.set(cpu_ms());
     let mut reply = Response::new(metrics.text().into());
     let text = HeaderValue::from_static("application/openmetrics-text; version=1.0.0");
     reply.headers_mut().insert(CONTENT_TYPE, text);
--- a/crates/tier/src/metrics.rs
+++ b/crates/tier/src/metrics.rs
@@ -62,6 +62,7 @@
     pub(crate) probe_bytes: Gauge,
     pub(crate) records: Gauge,
     pub(crate) in_flight: Gauge,
+    pub(crate) cpu: Gauge,
 }
 
 impl Metrics {
@@ -86,6 +87,7 @@
             probe_bytes: Gauge::default(),
             records: Gauge::default(),
             in_flight: Gauge::default(),
+            cpu: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -131,6 +133,7 @@
             self.records.clone(),
         );
         r.register("in_flight", "Requests that run", self.in_flight.clone());
+        r.register("cpu_ms", "Processor time of the process", self.cpu.clone());
     }
 
     pub(crate) fn observe(
@@ -180,3 +183,17 @@
         text
     }
 }
+
+/// Milliseconds of processor time that the process has used, as the system
+/// counts it; zero where it can't be read.
+pub(crate) fn cpu_ms() -> i64 {
+    /// Length of a tick of the system's accounts.
+    const TICK_MS: i64 = 10;
+    /// User and system time, counted after the name in parentheses.
+    const FIELDS: [usize; 2] = [11, 12];
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or_default();
+    let fields: Vec<&str> = after_name.split_whitespace().collect();
+    let ticks = FIELDS.map(|at| fields.get(at).and_then(|f| f.parse::<i64>().ok()));
+    ticks.into_iter().flatten().sum::<i64>() * TICK_MS
+}
--- a/crates/tier/src/service.rs
+++ b/crates/tier/src/service.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex};
 
-use chestnut_conf::RouteSettings;
+use chestnut_conf::{ReplicaChoice, RouteSettings};
 use chestnut_route::{
-    Admission, AdmitConfig, Backend, Decision, Ix, Release, Table, TableConfig, Versions,
+    Admission, AdmitConfig, Backend, Choice, Decision, Ix, Release, Table, TableConfig, Versions,
 };
 use chestnut_unit::{LeafId, MemberId, RequestId, ServiceName};
 use rand::Rng;
@@ -41,7 +41,13 @@
 
 impl Service {
     pub(crate) fn new(name: ServiceName, route: &RouteSettings) -> Self {
+        let choice = match route.choice {
+            ReplicaChoice::PeakEwma => Choice::PeakEwma,
+            ReplicaChoice::LeastOutstanding => Choice::LeastOutstanding,
+            ReplicaChoice::RoundRobin => Choice::RoundRobin,
+        };
         let table = TableConfig {
+            choice,
             hedge_share: route.hedge,
             retry_share: route.retry,
             ..TableConfig::default()
