--- a/crates/cli/tests/blackbox/stops.rs
+++ b/crates/cli/tests/blackbox/stops.rs
@@ -18,6 +18,7 @@
         calls: vec!["standings".to_owned(), "finals".to_owned()],
         deadline: Duration::from_secs(5),
         seed: 7,
+        operators: Vec::new(),
     }
 }
 
--- a/crates/fake/src/load.rs
+++ b/crates/fake/src/load.rs
@@ -47,6 +47,8 @@
     pub deadline: Duration,
     /// Seed of the arrival times.
     pub seed: u64,
+    /// Operators' addresses of the entries, to read their counts of calls.
+    pub operators: Vec<SocketAddr>,
 }
 
 /// What came of it.
@@ -68,6 +70,9 @@
     pub whole_ms: BTreeMap<String, f64>,
     /// Milliseconds at the 99th percentile of refusals.
     pub refused_p99_ms: f64,
+    /// Extra calls to back ends for each shard asked, by the entries' own
+    /// counts; absent if no operators' addresses were given.
+    pub extra: Option<f64>,
 }
 
 const QUANTILES: [(&str, f64); 4] = [("p50", 0.5), ("p90", 0.9), ("p99", 0.99), ("p99.9", 0.999)];
@@ -186,6 +191,30 @@
     }
 }
 
+/// Extra calls and shards asked so far, summed over the entries.
+async fn counts(client: &HttpClient, operators: &[SocketAddr]) -> (f64, f64) {
+    let wait = Duration::from_secs(2);
+    let (mut extra, mut shards) = (0.0, 0.0);
+    for address in operators {
+        let call = client.call(Method::GET, *address, "/metrics", Bytes::new(), wait);
+        let Ok(reply) = call.await else {
+            continue;
+        };
+        for line in String::from_utf8_lossy(&reply.body).lines() {
+            let Some((name, value)) = line.rsplit_once(' ') else {
+                continue;
+            };
+            let value: f64 = value.parse().unwrap_or(0.0);
+            if name == "chestnut_shards_asked_total" {
+                shards += value;
+            } else if name.starts_with("chestnut_calls_total") && !name.contains("\"first\"") {
+                extra += value;
+            }
+        }
+    }
+    (extra, shards)
+}
+
 /// Sends the load and reports. With `plot` it also writes the latency
 /// distribution as SVG.
 ///
@@ -202,6 +231,7 @@
         known: Vec::new(),
         until: Instant::now(),
     };
+    let before = counts(&client, &config.operators).await;
     let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
     let start = Instant::now();
     let mut due = start;
@@ -229,10 +259,14 @@
     }
     while requests.join_next().await.is_some() {}
     let tally = Arc::into_inner(tally).expect("every request has ended");
-    let (report, whole) = tally
+    let (mut report, whole) = tally
         .into_inner()
         .unwrap_or_else(PoisonError::into_inner)
         .finish();
+    if !config.operators.is_empty() {
+        let after = counts(&client, &config.operators).await;
+        report.extra = Some((after.0 - before.0) / (after.1 - before.1).max(1.0));
+    }
     if let Some(path) = plot {
         plot_latency(path, &whole)?;
     }
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -135,6 +135,10 @@
     /// Seed of the arrival times.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Operators' addresses of the entries, separated by commas, to report the
+    /// extra calls to back ends for each shard asked.
+    #[arg(long, value_delimiter = ',')]
+    operators: Vec<SocketAddr>,
     /// Write the latency distribution to this file, as SVG.
     #[arg(long)]
     plot: Option<PathBuf>,
@@ -290,6 +294,7 @@
         calls: args.calls,
         deadline: args.deadline,
         seed: args.seed,
+        operators: args.operators,
     };
     let report = load::run(config, args.plot.as_deref()).await?;
     println!("{}", serde_json::to_string_pretty(&report)?);
