--- a/crates/tier/src/fanout.rs
+++ b/crates/tier/src/fanout.rs
@@ -294,7 +294,12 @@
             Some(Place::Peer(id, _)) => id.as_str(),
             None => "nobody",
         };
-        debug!(self.shared.log, "choose: {to} for {shards} shards";
+        let part = match kind {
+            CallKind::First => "choose",
+            CallKind::Hedge => "hedge",
+            CallKind::Retry | CallKind::Reshed | CallKind::Reroute => "retry",
+        };
+        debug!(self.shared.log, "{part}: {to} for {shards} shards";
             "request" => self.ask.request.0, "why" => kind.as_str());
     }
 
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -315,6 +315,7 @@
         let Some((to, place)) = next_replica(shared, service, routes, shard, &tried) else {
             return attempts;
         };
+        log_choice(shared, &place, one, tried.len());
         tried.push(to);
         let attempt = Attempt::plan(to).queue().send(now);
         let result = send(shared, service, routes, shard, place, one).await;
@@ -342,6 +343,17 @@
     }
 }
 
+/// Logs which replica a submission goes to, and at which attempt.
+fn log_choice(shared: &Shared, place: &Place, one: &One, earlier: usize) {
+    if !shared.log_routes {
+        return;
+    }
+    let (Place::Leaf(_, address) | Place::Peer(_, address)) = place;
+    let part = if earlier == 0 { "choose" } else { "retry" };
+    debug!(shared.log, "{part}: {address} for a submission";
+        "request" => one.request.0, "why" => format!("attempt {}", earlier + 1));
+}
+
 fn next_replica(
     shared: &Shared,
     service: &Service,
