--- a/crates/fake/src/experiment/entry.rs
+++ b/crates/fake/src/experiment/entry.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use chestnut_route::{
-    Admission, Backend, CallId, ConnId, Ix, Pool, Query, Route, Routes, Table, Versions,
+    Admission, Backend, CallId, ConnId, Ix, Pool, PurseId, Query, Route, Routes, Table, Versions,
 };
 use chestnut_unit::{IndexVersion, LeafId, ShardName, Snapshot, Time, Urgency};
 use rand_chacha::ChaCha8Rng;
@@ -93,6 +93,7 @@
             replicas: (0..shape.replicas)
                 .map(|r| self.ixs[(s * shape.replicas + r + shift) % shape.leafs])
                 .collect(),
+            purse: PurseId::default(),
         };
         let routes = Routes {
             snapshot: Snapshot {
--- a/crates/fake/src/experiment/requests.rs
+++ b/crates/fake/src/experiment/requests.rs
@@ -138,10 +138,7 @@
             self.end_unserved(at, id);
             return;
         };
-        let config = QueryConfig {
-            deadline,
-            least: Share::WHOLE,
-        };
+        let config = QueryConfig::new(deadline, Share::WHOLE);
         let mut actions = Vec::new();
         let entry = &mut self.entries[at];
         let mut cx = Context {
--- /dev/null
+++ b/crates/flow/src/fanout.rs
@@ -0,0 +1,284 @@
+//! Runs one [`Query`] over a face's calls.
+
+use std::{collections::BTreeMap, fmt::Display, sync::Arc, time::Duration};
+
+use chestnut_route::{
+    Action, CallId, CallKind, Context, Eviction, Failure, Ix, Query, QueryConfig, Routes,
+};
+use chestnut_unit::{IndexVersion, Time};
+use futures::{
+    FutureExt, StreamExt,
+    future::{AbortHandle, Abortable, BoxFuture},
+    stream::FuturesUnordered,
+};
+use rand_chacha::ChaCha8Rng;
+use slog::debug;
+use tokio::time::sleep_until;
+
+use crate::{Cell, Host, lock};
+
+/// What one call brought.
+#[derive(Debug)]
+pub struct Parts<P> {
+    /// The index version that was read.
+    pub version: IndexVersion,
+    /// Positions in the pinned routes, and what their shards contribute.
+    pub parts: Vec<(usize, P)>,
+    /// Whether the back end says that it is leaving.
+    pub draining: bool,
+}
+
+/// A call to start.
+#[derive(Debug)]
+pub struct Start<'a> {
+    /// The back end.
+    pub to: Ix,
+    /// The routes that the query pinned.
+    pub routes: &'a Routes,
+    /// Positions in them of the shards that are asked.
+    pub shards: Vec<usize>,
+    /// Time left for the answer.
+    pub left: Duration,
+    /// Why it is made.
+    pub kind: CallKind,
+}
+
+/// A call under way.
+pub type Flying<P> = BoxFuture<'static, Result<Parts<P>, Failure>>;
+
+/// How a face calls its back ends on behalf of one request.
+pub trait Calls {
+    /// What the face keeps in its cells.
+    type Extra;
+    /// What a shard contributes.
+    type Part;
+
+    /// The name of the request in logs.
+    fn request(&self) -> &dyn Display;
+
+    /// Starts a call. Dropping the future cancels it.
+    fn call(&self, start: Start<'_>) -> Flying<Self::Part>;
+
+    /// Takes it that a back end was evicted.
+    fn evicted(&self, eviction: &Eviction);
+}
+
+type Call<P> = Abortable<BoxFuture<'static, (CallId, Result<Parts<P>, Failure>)>>;
+
+struct Flight {
+    to: Ix,
+    shards: Vec<usize>,
+    abort: AbortHandle,
+}
+
+/// A query under way. Dropping it cancels its calls and gives back their
+/// counts, so a caller that hangs up costs the targets nothing more.
+struct Fanout<'a, C: Calls> {
+    host: &'a Host,
+    cell: &'a Cell<C::Extra>,
+    calls: &'a C,
+    query: Option<Query<C::Part>>,
+    flying: FuturesUnordered<Call<C::Part>>,
+    flights: BTreeMap<CallId, Flight>,
+    actions: Vec<Action>,
+    rng: ChaCha8Rng,
+}
+
+/// Runs a query over all shards of `routes`, or over `subset`, to its end.
+pub async fn run<C: Calls>(
+    host: &Host,
+    cell: &Cell<C::Extra>,
+    calls: &C,
+    routes: Arc<Routes>,
+    subset: Option<&[usize]>,
+    config: QueryConfig,
+) -> Query<C::Part>
+where
+    C::Part: 'static,
+{
+    let mut fanout = Fanout {
+        host,
+        cell,
+        calls,
+        query: None,
+        flying: FuturesUnordered::new(),
+        flights: BTreeMap::new(),
+        actions: Vec::new(),
+        rng: host.rng(),
+    };
+    fanout.start(routes, subset, config);
+    fanout.drive().await
+}
+
+impl<C: Calls> Fanout<'_, C>
+where
+    C::Part: 'static,
+{
+    fn start(&mut self, routes: Arc<Routes>, subset: Option<&[usize]>, config: QueryConfig) {
+        let now = self.host.now();
+        let mut state = lock(&self.cell.state);
+        let mut cx = Context {
+            table: &mut state.table,
+            now,
+            rng: &mut self.rng,
+            out: &mut self.actions,
+        };
+        self.query = Some(Query::start(routes, subset, config, &mut cx));
+    }
+
+    async fn drive(mut self) -> Query<C::Part> {
+        loop {
+            self.perform();
+            let query = self.query.as_ref().expect("started and not yet ended");
+            if query.end().is_some() {
+                return self.query.take().expect("just seen");
+            }
+            let wake = self.host.clock.instant(query.wake());
+            tokio::select! {
+                biased;
+                Some(reply) = self.flying.next(), if !self.flying.is_empty() => {
+                    if let Ok((call, reply)) = reply {
+                        self.take(call, reply);
+                    }
+                }
+                () = sleep_until(wake) => self.with_query(|query, cx| query.tick(cx)),
+            }
+        }
+    }
+
+    fn perform(&mut self) {
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                Action::Cancel(call) => {
+                    if let Some(flight) = self.flights.remove(&call) {
+                        flight.abort.abort();
+                    }
+                }
+                Action::Call {
+                    call,
+                    to,
+                    shards,
+                    kind,
+                    deadline,
+                } => self.call(call, to, shards, kind, deadline),
+            }
+        }
+    }
+
+    fn call(&mut self, id: CallId, to: Ix, shards: Vec<usize>, kind: CallKind, deadline: Time) {
+        self.log_choice(to, shards.len(), kind);
+        let query = self.query.as_ref().expect("calls belong to a query");
+        let start = Start {
+            to,
+            routes: query.routes(),
+            shards: shards.iter().map(|at| query.route_of(*at)).collect(),
+            left: deadline.since(self.host.now()),
+            kind,
+        };
+        let reply = self.calls.call(start);
+        let future = async move { (id, reply.await) }.boxed();
+        let (abort, registration) = AbortHandle::new_pair();
+        self.flying.push(Abortable::new(future, registration));
+        self.flights.insert(id, Flight { to, shards, abort });
+    }
+
+    fn take(&mut self, call: CallId, reply: Result<Parts<C::Part>, Failure>) {
+        let Some(flight) = self.flights.remove(&call) else {
+            return;
+        };
+        match reply {
+            Ok(answer) => {
+                if answer.draining {
+                    self.mark_draining(flight.to);
+                }
+                let parts = self.positions(&flight.shards, answer.parts);
+                let version = answer.version;
+                self.with_query(|query, cx| query.answer(call, version, parts, cx));
+            }
+            Err(failure) => {
+                self.log_failure(flight.to, failure);
+                self.with_query(|query, cx| query.fail(call, failure, cx));
+            }
+        }
+    }
+
+    /// Turns positions in the routes into positions in the query. Parts of
+    /// shards that were not asked for are dropped.
+    fn positions(&self, shards: &[usize], parts: Vec<(usize, C::Part)>) -> Vec<(usize, C::Part)> {
+        let query = self.query.as_ref().expect("answers belong to a query");
+        let position = |route: usize| {
+            let here = |at: &&usize| query.route_of(**at) == route;
+            shards.iter().find(here).copied()
+        };
+        parts
+            .into_iter()
+            .filter_map(|(route, part)| Some((position(route)?, part)))
+            .collect()
+    }
+
+    fn mark_draining(&self, ix: Ix) {
+        let now = self.host.now();
+        let mut state = lock(&self.cell.state);
+        if state.table.is_leaving(ix) {
+            return;
+        }
+        state.table.set_leaving(ix, true, now);
+        let backend = state.table.backend(ix).clone();
+        drop(state);
+        slog::info!(self.host.log, "hold: {backend} is leaving";
+            "service" => %self.cell.name, "why" => "its own mark");
+    }
+
+    fn log_choice(&self, to: Ix, shards: usize, kind: CallKind) {
+        if !self.host.trace {
+            return;
+        }
+        let part = match kind {
+            CallKind::First => "choose",
+            CallKind::Hedge => "hedge",
+            CallKind::Retry | CallKind::Reshed | CallKind::Reroute => "retry",
+        };
+        let backend = lock(&self.cell.state).table.backend(to).clone();
+        debug!(self.host.log, "{part}: {backend} for {shards} shards";
+            "request" => %self.calls.request(), "why" => kind.as_str());
+    }
+
+    fn log_failure(&self, to: Ix, failure: Failure) {
+        if !self.host.trace {
+            return;
+        }
+        let backend = lock(&self.cell.state).table.backend(to).clone();
+        debug!(self.host.log, "retry: {backend} failed";
+            "request" => %self.calls.request(), "why" => %failure);
+    }
+}
+
+impl<C: Calls> Fanout<'_, C> {
+    /// Passes an event to the query under the cell's lock.
+    fn with_query(&mut self, event: impl FnOnce(&mut Query<C::Part>, &mut Context<'_>)) {
+        let Some(query) = &mut self.query else {
+            return;
+        };
+        let mut state = lock(&self.cell.state);
+        let mut cx = Context {
+            table: &mut state.table,
+            now: self.host.now(),
+            rng: &mut self.rng,
+            out: &mut self.actions,
+        };
+        event(query, &mut cx);
+        let evictions = state.table.take_evictions();
+        drop(state);
+        for eviction in evictions {
+            self.calls.evicted(&eviction);
+            slog::info!(self.host.log, "evict: {} for {:?}", eviction.backend, eviction.span;
+                "service" => %self.cell.name, "why" => %eviction.failure);
+        }
+    }
+}
+
+impl<C: Calls> Drop for Fanout<'_, C> {
+    fn drop(&mut self) {
+        self.with_query(|query, cx| query.abandon(cx));
+    }
+}
--- a/crates/tier/src/gate.rs
+++ b/crates/flow/src/gate.rs
@@ -7,27 +7,27 @@
 use rand::Rng;
 use tokio::{sync::oneshot, time::sleep_until};
 
-use crate::{
-    service::Service,
-    shared::{Shared, lock},
-};
+use crate::{Cell, Host, lock};
 
 /// A request that runs. Dropping it, however that comes about, lets the next
 /// one run.
-pub(crate) struct Running<'a> {
-    shared: &'a Shared,
-    service: Arc<Service>,
+#[derive(Debug)]
+pub struct Running<'a, X> {
+    host: &'a Host,
+    cell: Arc<Cell<X>>,
     start: Time,
-    pub(crate) calls: u32,
-    pub(crate) sheds: u32,
+    /// Calls that it made.
+    pub calls: u32,
+    /// Calls of it that targets shed.
+    pub sheds: u32,
 }
 
-impl Drop for Running<'_> {
+impl<X> Drop for Running<'_, X> {
     fn drop(&mut self) {
-        let now = self.shared.now();
-        let mut rng = self.shared.rng();
+        let now = self.host.now();
+        let mut rng = self.host.rng();
         let mut out = Vec::new();
-        let mut state = lock(&self.service.state);
+        let mut state = lock(&self.cell.state);
         let ran = Ran {
             span: now.since(self.start),
             calls: self.calls,
@@ -39,14 +39,14 @@
 }
 
 /// A request that waits. Dropping it takes it out of the queue.
-struct Waiting<'a> {
-    service: &'a Service,
+struct Waiting<'a, X> {
+    cell: &'a Cell<X>,
     id: RequestId,
 }
 
-impl Drop for Waiting<'_> {
+impl<X> Drop for Waiting<'_, X> {
     fn drop(&mut self) {
-        let mut state = lock(&self.service.state);
+        let mut state = lock(&self.cell.state);
         if state.waiting.remove(&self.id).is_some() {
             state.admission.forget(self.id);
         }
@@ -58,21 +58,21 @@
 /// # Errors
 ///
 /// It is refused; the span says when to come back.
-pub(crate) async fn admit<'a>(
-    shared: &'a Shared,
-    service: &Arc<Service>,
+pub async fn admit<'a, X>(
+    host: &'a Host,
+    cell: &Arc<Cell<X>>,
     order: Order,
-) -> Result<Running<'a>, (Reason, Duration)> {
-    let mut rng = shared.rng();
-    let decision = match offer(shared, service, order, &mut rng) {
+) -> Result<Running<'a, X>, (Reason, Duration)> {
+    let mut rng = host.rng();
+    let decision = match offer(host, cell, order, &mut rng) {
         Ok(decision) => decision,
-        Err(waiter) => wait(shared, service, order, waiter).await,
+        Err(waiter) => wait(host, cell, order, waiter).await,
     };
     match decision {
         Decision::Run => Ok(Running {
-            shared,
-            service: service.clone(),
-            start: shared.now(),
+            host,
+            cell: cell.clone(),
+            start: host.now(),
             calls: 0,
             sheds: 0,
         }),
@@ -82,15 +82,15 @@
 }
 
 /// The decision, or where to wait for it.
-fn offer(
-    shared: &Shared,
-    service: &Service,
+fn offer<X>(
+    host: &Host,
+    cell: &Cell<X>,
     order: Order,
     rng: &mut dyn Rng,
 ) -> Result<Decision, oneshot::Receiver<Decision>> {
-    let now = shared.now();
+    let now = host.now();
     let mut out = Vec::new();
-    let mut state = lock(&service.state);
+    let mut state = lock(&cell.state);
     let decision = state.admission.offer(order, now, rng, &mut out);
     state.deliver(out, now, rng);
     if decision != Decision::Wait {
@@ -101,21 +101,18 @@
     Err(told)
 }
 
-async fn wait(
-    shared: &Shared,
-    service: &Service,
+async fn wait<X>(
+    host: &Host,
+    cell: &Cell<X>,
     order: Order,
     mut told: oneshot::Receiver<Decision>,
 ) -> Decision {
     /// Shortest time between two looks at the queue.
     const LOOK: Duration = Duration::from_millis(1);
-    let _waiting = Waiting {
-        service,
-        id: order.id,
-    };
+    let _waiting = Waiting { cell, id: order.id };
     loop {
-        let wake = lock(&service.state).admission.wake();
-        let wake = wake.unwrap_or(order.deadline).max(shared.now() + LOOK);
+        let wake = lock(&cell.state).admission.wake();
+        let wake = wake.unwrap_or(order.deadline).max(host.now() + LOOK);
         tokio::select! {
             biased;
             decision = &mut told => {
@@ -124,16 +121,16 @@
                     after: Duration::from_secs(1),
                 });
             }
-            () = sleep_until(shared.clock.instant(wake)) => expire(shared, service),
+            () = sleep_until(host.clock.instant(wake)) => expire(host, cell),
         }
     }
 }
 
-fn expire(shared: &Shared, service: &Service) {
-    let now = shared.now();
-    let mut rng = shared.rng();
+fn expire<X>(host: &Host, cell: &Cell<X>) {
+    let now = host.now();
+    let mut rng = host.rng();
     let mut out = Vec::new();
-    let mut state = lock(&service.state);
+    let mut state = lock(&cell.state);
     state.admission.expire(now, &mut rng, &mut out);
     state.deliver(out, now, &mut rng);
 }
--- /dev/null
+++ b/crates/flow/src/host.rs
@@ -0,0 +1,57 @@
+//! What every task of an entry needs: log, clock and random draws.
+
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
+
+use chestnut_port::Clock;
+use chestnut_unit::Time;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+use slog::Logger;
+
+/// Log, clock and random draws of one entry.
+#[derive(Debug)]
+pub struct Host {
+    /// The log.
+    pub log: Logger,
+    /// Whether each call is logged, and not only each request.
+    pub trace: bool,
+    /// The clock.
+    pub clock: Clock,
+    draws: AtomicU64,
+    seed: u64,
+}
+
+impl Host {
+    /// A host whose random draws follow from `seed`.
+    #[must_use]
+    pub fn new(log: Logger, trace: bool, clock: Clock, seed: u64) -> Self {
+        Self {
+            log,
+            trace,
+            clock,
+            draws: AtomicU64::new(0),
+            seed,
+        }
+    }
+
+    /// The present time.
+    #[must_use]
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// A generator for one decision or request, from the entry's seed.
+    #[must_use]
+    pub fn rng(&self) -> ChaCha8Rng {
+        let draw = self.draws.fetch_add(1, Ordering::Relaxed);
+        ChaCha8Rng::seed_from_u64(self.seed.wrapping_add(draw))
+    }
+}
+
+/// Locks a table. A task that panicked while holding it broke an invariant and
+/// has ended; the tables hold counts and maps that stay usable for others.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -212,7 +212,9 @@
             }
         }
         SubAnswer::Failed(Failure::Refused(refusal)) => to.set_refused(refusal_to(*refusal)),
-        SubAnswer::Failed(Failure::Lost | Failure::Cut | Failure::NotSent) => to.set_lost(()),
+        SubAnswer::Failed(Failure::Lost | Failure::Cut | Failure::NotSent | Failure::Failed) => {
+            to.set_lost(())
+        }
     }
 }
 
@@ -285,7 +287,7 @@
         Ok(done) => to.set_done(done),
         Err(Failure::Refused(refusal)) => to.set_refused(refusal_to(*refusal)),
         Err(Failure::NotSent) => to.set_not_sent(()),
-        Err(Failure::Lost | Failure::Cut) => to.set_lost(()),
+        Err(Failure::Lost | Failure::Cut | Failure::Failed) => to.set_lost(()),
     }
 }
 
--- a/crates/route/benches/query.rs
+++ b/crates/route/benches/query.rs
@@ -20,6 +20,7 @@
         .map(|s| Route {
             name: ShardName::new(format!("s{s}")).expect("a legal name"),
             replicas: (0..REPLICAS).map(|r| leaf(s * REPLICAS + r)).collect(),
+            purse: chestnut_route::PurseId::default(),
         })
         .collect();
     Arc::new(Routes {
@@ -35,10 +36,7 @@
 fn run(table: &mut Table, routes: &Arc<Routes>, rng: &mut ChaCha8Rng) -> usize {
     let mut out = Vec::new();
     let start = Time::from_millis(10);
-    let config = QueryConfig {
-        deadline: Time::from_millis(1000),
-        least: Share::WHOLE,
-    };
+    let config = QueryConfig::new(Time::from_millis(1000), Share::WHOLE);
     let mut cx = Context {
         table,
         now: start,
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -32,6 +32,23 @@
         }
     }
 
+    /// A budget that starts empty. A member of a group whose shares together
+    /// make one budget must not start with saved calls: a group that restarts
+    /// at once would spend them all again.
+    #[must_use]
+    pub fn empty(share: Share, burst: u32) -> Self {
+        Self {
+            tokens: 0.0,
+            ..Self::new(share, burst)
+        }
+    }
+
+    /// Changes how many calls may be saved up; what is above is lost.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = burst;
+        self.tokens = self.tokens.min(burst);
+    }
+
     /// Counts `calls` first calls.
     pub fn earn(&mut self, calls: usize) {
         let earned = self.share * calls as f64;
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -117,8 +117,7 @@
 
 fn peak_score(table: &Table, ix: Ix, now: Time) -> f64 {
     let state = &table.states[ix.index()];
-    let typical = table.calls.median().as_nanos() as f64;
-    let peak = state.estimate.peak_at(now).max(typical);
+    let peak = state.estimate.peak_at(now).max(table.typical());
     peak * f64::from(state.outstanding + 1)
 }
 
@@ -128,7 +127,8 @@
 fn predicted_score(table: &Table, ix: Ix, now: Time) -> f64 {
     let state = &table.states[ix.index()];
     let own = f64::from(state.outstanding) / f64::from(state.slots.max(1));
-    table.expected(ix, now) * (1.0 + OWN_WEIGHT * own) * table.handicap(ix, now)
+    let expected = state.estimate.mean_at(now, table.typical());
+    expected * (1.0 + OWN_WEIGHT * own) * table.handicap(ix, now)
 }
 
 /// Weight of our own outstanding calls. Above 1 because, with several entries
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -8,7 +8,7 @@
 use rand::Rng;
 use tries::kind_after;
 
-use crate::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
+use crate::{Attempt, Class, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
 
 /// Number of a call within its query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -76,6 +76,9 @@
     NoReplica,
     /// A shard's replicas no longer have the snapshot.
     SnapshotLost,
+    /// The answer covers the least share, and the time within which callers
+    /// want it is up: what is missing would come too late to be worth it.
+    Enough,
 }
 
 /// How a query ended.
@@ -87,6 +90,15 @@
     Partial(Give),
 }
 
+/// Whether a call may be made again when an earlier one may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// It may: running twice changes nothing.
+    Free,
+    /// Only after proof that none of the earlier calls ran.
+    Unrun,
+}
+
 /// Parameters of one query.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryConfig {
@@ -95,6 +107,31 @@
     /// Least share of shards that the answer must cover; once it is out of
     /// reach the query ends.
     pub least: Share,
+    /// When the caller wants the answer. From then on the least share is
+    /// enough.
+    pub goal: Time,
+    /// Back ends that may run a shard's call, the first included.
+    pub attempts: u32,
+    /// Whether a call may be repeated.
+    pub repeat: Repeat,
+    /// The class of its calls.
+    pub class: Class,
+}
+
+impl QueryConfig {
+    /// A query that waits for whole answers until its deadline and repeats
+    /// calls freely.
+    #[must_use]
+    pub fn new(deadline: Time, least: Share) -> Self {
+        Self {
+            deadline,
+            least,
+            goal: deadline,
+            attempts: u32::MAX,
+            repeat: Repeat::Free,
+            class: Class::default(),
+        }
+    }
 }
 
 /// Time that an answer needs from a back end to the caller of the decision,
@@ -107,6 +144,8 @@
     part: Option<P>,
     tried: Vec<Ix>,
     live: u32,
+    /// Calls that a back end may have run.
+    ran: u32,
     /// Calls that asked for it.
     calls: Vec<CallId>,
     due: Time,
@@ -155,6 +194,8 @@
     first: usize,
     end: Option<End>,
     sheds: u32,
+    /// Whether the goal has passed and the query was not ended by it.
+    goal_seen: bool,
     /// Whether some shard may have no call under way and none to come.
     stuck: bool,
 }
@@ -181,6 +222,7 @@
             first: 0,
             end: None,
             sheds: 0,
+            goal_seen: false,
             stuck: true,
         };
         let every: Vec<usize> = (0..query.shards.len()).collect();
@@ -206,7 +248,7 @@
         let to = attempt.to();
         let span = cx.now.since(attempt.sent_at());
         self.ends.push(attempt.answer());
-        cx.table.answered(to, span, cx.now);
+        cx.table.answered_in(self.config.class, to, span, cx.now);
         if version == self.version() {
             self.merge(id, parts, cx);
         } else {
@@ -227,13 +269,17 @@
             Failure::Lost | Failure::Cut => attempt.lose(),
             Failure::Refused(_) => attempt.refuse_unrun(),
             Failure::NotSent => attempt.prove_unsent(),
+            Failure::Failed => attempt.answer(),
         });
         cx.table.failed(to, failure, cx.now);
+        if matches!(failure, Failure::Refused(_) | Failure::NotSent) {
+            self.uncount(id);
+        }
         if failure == Failure::Refused(Refusal::NoSnapshot) {
             cx.table.lacks(to, self.version(), cx.now);
         }
         self.sheds += u32::from(failure == Failure::Refused(Refusal::Shed));
-        self.release(id, kind_after(failure), cx);
+        self.release(id, kind_after(failure, self.config.repeat), cx);
         self.settle(cx);
     }
 
@@ -246,12 +292,35 @@
             self.finish(End::Partial(Give::Deadline), cx);
             return;
         }
+        self.goal_seen |= cx.now >= self.config.goal;
+        if self.is_enough(cx.now) {
+            self.finish(End::Partial(Give::Enough), cx);
+            return;
+        }
         self.try_again(cx);
         if self.end.is_none() && cx.now >= self.look {
             self.hedge(cx);
         }
     }
 
+    /// Whether the answer is past its goal and covers the least share.
+    fn is_enough(&self, now: Time) -> bool {
+        let merged = self.shards.len() - self.pending;
+        now >= self.config.goal && merged > 0 && self.reaches_least(merged)
+    }
+
+    fn reaches_least(&self, shards: usize) -> bool {
+        shards as f64 >= self.config.least.as_f64() * self.shards.len() as f64
+    }
+
+    /// Takes back from the shards of a call that it may have run.
+    fn uncount(&mut self, id: CallId) {
+        for position in &self.calls[id.0 as usize].shards {
+            let shard = &mut self.shards[*position];
+            shard.ran = shard.ran.saturating_sub(1);
+        }
+    }
+
     /// Ends a query that nobody waits for any more.
     pub fn abandon(&mut self, cx: &mut Context<'_>) {
         if self.end.is_none() {
@@ -262,7 +331,9 @@
     /// When [`Query::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
-        self.look.min(self.config.deadline)
+        let waits = self.config.goal < self.config.deadline && !self.goal_seen;
+        let goal = if waits { self.config.goal } else { Time::MAX };
+        self.look.min(self.config.deadline).min(goal)
     }
 
     /// How the query ended, if it has.
@@ -380,6 +451,10 @@
             self.finish(End::Whole, cx);
             return;
         }
+        if self.is_enough(cx.now) {
+            self.finish(End::Partial(Give::Enough), cx);
+            return;
+        }
         if !self.stuck {
             return;
         }
@@ -391,8 +466,7 @@
             return;
         }
         let reachable = self.shards.len() - hopeless.len();
-        let needed = self.config.least.as_f64() * self.shards.len() as f64;
-        if hopeless.len() == self.pending || (reachable as f64) < needed {
+        if hopeless.len() == self.pending || !self.reaches_least(reachable) {
             let give = self.why(&hopeless, cx);
             self.finish(End::Partial(give), cx);
         }
@@ -439,6 +513,7 @@
             part: None,
             tried: Vec::new(),
             live: 0,
+            ran: 0,
             calls: Vec::new(),
             due: Time::MAX,
             again: None,
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -4,7 +4,7 @@
 
 use chestnut_unit::Time;
 
-use super::{Action, Call, CallId, CallKind, Context, HOP, Life, Query, Shard};
+use super::{Action, Call, CallId, CallKind, Context, HOP, Life, Query, Repeat, Shard};
 use crate::{Attempt, Failure, Hedge, Ix, Refusal, choose::choose_replica};
 
 /// Time after which late shards that could not be hedged are looked at again.
@@ -12,7 +12,8 @@
 
 impl<P> Query<P> {
     pub(super) fn retry(&mut self, orphans: &[usize], kind: CallKind, cx: &mut Context<'_>) {
-        if cx.now + HOP >= self.config.deadline {
+        let may_have_run = kind == CallKind::Retry && self.config.repeat == Repeat::Unrun;
+        if may_have_run || cx.now + HOP >= self.config.deadline {
             return;
         }
         self.call(orphans, kind, cx);
@@ -72,12 +73,24 @@
                 shard.part.is_none() && shard.live > 0 && shard.due <= cx.now
             })
             .collect();
-        if !late.is_empty() {
+        self.note_stalls(&late, cx);
+        if !late.is_empty() && self.config.repeat == Repeat::Free {
             self.call(&late, CallKind::Hedge, cx);
         }
         self.look = self.next_due(cx.now);
     }
 
+    /// Tells the table which back ends hold up the late shards.
+    fn note_stalls(&self, late: &[usize], cx: &mut Context<'_>) {
+        for position in late {
+            for id in &self.shards[*position].calls {
+                if let Life::Live(attempt) = &self.calls[id.0 as usize].life {
+                    cx.table.stalled(attempt.to(), cx.now);
+                }
+            }
+        }
+    }
+
     /// Whether the query waits for few of its shards or of its calls. One call
     /// to a holder covers many shards: when it hangs, most shards may be
     /// missing though nothing else is wrong.
@@ -110,16 +123,33 @@
         if kind == CallKind::First {
             cx.table.gauge.first += plan.len() as u64;
             cx.table.gauge.shards += positions.len() as u64;
-            cx.table.hedges.earn(plan.len());
-            cx.table.retries.earn(plan.len());
         }
         for (to, shards) in plan {
-            if pay(kind, cx) {
+            if self.pay(kind, &shards, cx) {
                 self.send(to, shards, kind, cx);
             }
         }
     }
 
+    /// Takes a call of `kind` from the budget of its shards.
+    fn pay(&self, kind: CallKind, shards: &[usize], cx: &mut Context<'_>) -> bool {
+        let Some(first) = shards.first() else {
+            return false;
+        };
+        let purse = self.routes.shards[self.shards[*first].route].purse;
+        let purse = cx.table.purse(purse);
+        if kind == CallKind::First {
+            purse.earn(1);
+        }
+        let paid = purse.spend(kind);
+        match kind {
+            CallKind::Hedge if paid => cx.table.gauge.hedges += 1,
+            CallKind::Retry | CallKind::Reshed if paid => cx.table.gauge.retries += 1,
+            _ => {}
+        }
+        paid
+    }
+
     pub(super) fn choose_for(
         &self,
         position: usize,
@@ -127,6 +157,9 @@
         cx: &mut Context<'_>,
     ) -> Option<Ix> {
         let shard = &self.shards[position];
+        if shard.ran >= self.config.attempts {
+            return None;
+        }
         let replicas = &self.routes.shards[shard.route].replicas;
         let version = self.version();
         let fresh = choose_replica(cx.table, replicas, &shard.tried, version, cx.now, cx.rng);
@@ -139,7 +172,7 @@
             }
             None => return None,
         };
-        let need = Duration::from_nanos(cx.table.expected(to, cx.now) as u64);
+        let need = Duration::from_nanos(cx.table.expected(self.config.class, to, cx.now) as u64);
         let pointless = kind == CallKind::Hedge && cx.now + need >= self.config.deadline;
         (!pointless).then_some(to)
     }
@@ -152,13 +185,14 @@
         cx: &mut Context<'_>,
     ) {
         let id = CallId(u32::try_from(self.calls.len()).expect("fewer than 2^32 calls"));
-        let delay = cx.table.hedge_delay(to, cx.now);
+        let delay = cx.table.hedge_delay(self.config.class, to, cx.now);
         let due = delay.map_or(Time::MAX, |delay| cx.now + delay);
         self.look = self.look.min(due);
         for position in &shards {
             let shard = &mut self.shards[*position];
             shard.tried.push(to);
             shard.live += 1;
+            shard.ran += 1;
             shard.calls.push(id);
             shard.due = due;
         }
@@ -199,7 +233,8 @@
             return;
         };
         let span = cx.now.since(attempt.sent_at());
-        cx.table.cancelled(attempt.to(), span, cx.now);
+        cx.table
+            .cancelled(self.config.class, attempt.to(), span, cx.now);
         self.ends.push(attempt.lose());
         for position in &self.calls[id.0 as usize].shards {
             self.shards[*position].live -= 1;
@@ -209,23 +244,23 @@
 }
 
 /// The kind of the call that makes good a failed one.
-pub(super) fn kind_after(failure: Failure) -> CallKind {
+pub(super) fn kind_after(failure: Failure, repeat: Repeat) -> CallKind {
     match failure {
+        // Silence proves nothing: what must run at most once may have run.
+        Failure::Cut if repeat == Repeat::Unrun => CallKind::Retry,
         Failure::NotSent
         | Failure::Cut
         | Failure::Refused(Refusal::Draining | Refusal::NoSnapshot | Refusal::Connections) => {
             CallKind::Reroute
         }
         Failure::Refused(_) => CallKind::Reshed,
-        Failure::Lost => CallKind::Retry,
+        Failure::Lost | Failure::Failed => CallKind::Retry,
     }
 }
 
 /// Rest of a shard that every replica shed: about a call, so that a slot has
 /// come free.
 const SHED_REST: Duration = Duration::from_millis(4);
-/// What a call that a target sheds costs it, as part of a call that it runs.
-const SHED_COST: f64 = 0.25;
 /// Times that each replica of a shard may be called for one query.
 const ROUNDS: usize = 2;
 
@@ -239,19 +274,3 @@
     };
     repairs && shard.tried.len() < replicas.len() * ROUNDS
 }
-
-/// Takes a call of `kind` from its budget.
-fn pay(kind: CallKind, cx: &mut Context<'_>) -> bool {
-    let paid = match kind {
-        CallKind::First | CallKind::Reroute => true,
-        CallKind::Hedge => cx.table.hedges.spend(),
-        CallKind::Retry => cx.table.retries.spend(),
-        CallKind::Reshed => cx.table.retries.spend_part(SHED_COST),
-    };
-    match kind {
-        CallKind::Hedge if paid => cx.table.gauge.hedges += 1,
-        CallKind::Retry | CallKind::Reshed if paid => cx.table.gauge.retries += 1,
-        _ => {}
-    }
-    paid
-}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,7 +8,7 @@
 
 use chestnut_unit::{IndexVersion, LeafId, MemberId, Share, Time};
 
-use crate::{Budget, Choice, Damped, Estimate, Gauge, Hedge, Quantiles};
+use crate::{Choice, Class, Damped, Estimate, Gauge, Hedge, Profile, Purse, PurseId};
 
 /// A back end of a service, as one entry sees it.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -67,6 +67,8 @@
     /// It was sent on a connection that turned out to be silent. As lost, but
     /// nothing is said against the target.
     Cut,
+    /// The target ran it and answered with a failure of its own.
+    Failed,
 }
 
 impl fmt::Display for Failure {
@@ -76,6 +78,7 @@
             Self::Refused(refusal) => write!(f, "refused: {refusal:?}"),
             Self::Lost => f.write_str("lost"),
             Self::Cut => f.write_str("cut off by a silent connection"),
+            Self::Failed => f.write_str("answered with a failure"),
         }
     }
 }
@@ -122,10 +125,6 @@
 /// Calls that a budget saves up, so that a service at rest can hedge or retry
 /// a whole fan-out at once.
 const BURST: u32 = 64;
-/// The quantile of call durations after which a call counts as late. Its
-/// complement is what hedges cost while nothing is wrong; the budget is well
-/// above it, so that it is not spent when stragglers come.
-const LATE_QUANTILE: f64 = 0.99;
 /// Points of failure in a row after which a back end is evicted.
 const POINTS_MAX: u32 = 9;
 /// Points of a call that was lost or could not be sent.
@@ -140,6 +139,13 @@
 /// How long a leaf that refused a call is passed over. Long enough for a slot
 /// to come free, short enough not to idle the leaf.
 const REFUSED_REST: Duration = Duration::from_millis(20);
+/// How long a back end with a late call is passed over while it answers
+/// nothing. About the length of the pauses that collectors and compactions
+/// cause (250 ms on the users' leafs): shorter sends calls into the rest of
+/// the pause, longer idles a leaf that has long recovered.
+const STALL_REST: Duration = Duration::from_millis(250);
+/// The common unit of calls of several classes.
+const UNIT_NANOS: f64 = 1e6;
 /// How long a leaf that lacks a snapshot is not asked for it again.
 const LACK_REST: Duration = Duration::from_secs(1);
 /// Time in which a cold leaf's share grows to a full one.
@@ -167,6 +173,7 @@
     evictions: u32,
     evicted: Option<Time>,
     rest: Time,
+    stalled: Time,
     leaving: bool,
     since: Time,
     hint: f64,
@@ -180,10 +187,8 @@
     pub(crate) config: TableConfig,
     pub(crate) states: Vec<State>,
     index: BTreeMap<Backend, Ix>,
-    pub(crate) calls: Quantiles,
-    pub(crate) excess: Quantiles,
-    pub(crate) hedges: Budget,
-    pub(crate) retries: Budget,
+    profiles: Vec<Profile>,
+    pub(crate) purses: Vec<Purse>,
     pub(crate) gauge: Gauge,
     pub(crate) turn: u64,
     pub(crate) damped: Damped,
@@ -195,13 +200,11 @@
     #[must_use]
     pub fn new(config: TableConfig) -> Self {
         Self {
-            hedges: Budget::new(config.hedge_share, BURST),
-            retries: Budget::new(config.retry_share, BURST),
+            purses: vec![Purse::split(config.hedge_share, config.retry_share, BURST)],
+            profiles: vec![Profile::default()],
             config,
             states: Vec::new(),
             index: BTreeMap::new(),
-            calls: Quantiles::new(LATE_QUANTILE),
-            excess: Quantiles::new(LATE_QUANTILE),
             gauge: Gauge::default(),
             turn: 0,
             damped: Damped::default(),
@@ -226,6 +229,7 @@
             evictions: 0,
             evicted: None,
             rest: Time::ZERO,
+            stalled: Time::ZERO,
             leaving: false,
             since: now,
             hint: 1.0,
@@ -286,10 +290,62 @@
         self.gauge
     }
 
-    /// Durations of recent calls.
+    /// Adds a class of calls, with a profile of its own.
+    ///
+    /// # Panics
+    ///
+    /// There are 65,536 classes already.
+    pub fn add_class(&mut self) -> Class {
+        let class = Class(u16::try_from(self.profiles.len()).expect("fewer than 2^16 classes"));
+        self.profiles.push(Profile::default());
+        class
+    }
+
+    /// Adds a budget of extra calls that some shards draw on together.
+    ///
+    /// # Panics
+    ///
+    /// There are 2^32 budgets already.
+    pub fn add_purse(&mut self, purse: Purse) -> PurseId {
+        let id = PurseId(u32::try_from(self.purses.len()).expect("fewer than 2^32 budgets"));
+        self.purses.push(purse);
+        id
+    }
+
+    /// Changes a budget.
+    pub fn purse(&mut self, id: PurseId) -> &mut Purse {
+        &mut self.purses[id.0 as usize]
+    }
+
+    /// Durations of recent calls of a class.
     #[must_use]
-    pub fn calls(&self) -> &Quantiles {
-        &self.calls
+    pub fn profile(&self, class: Class) -> &Profile {
+        &self.profiles[class.index()]
+    }
+
+    /// Factor from a span of a class to the unit in which calls of all classes
+    /// are compared: with one class the nanosecond itself, with more the
+    /// class's median, so that a leaf that ran the long calls of one class
+    /// doesn't look slower than one that ran the short calls of another.
+    fn scale(&self, class: Class) -> f64 {
+        if self.profiles.len() == 1 {
+            return 1.0;
+        }
+        let median = self.profiles[class.index()].calls.median().as_nanos() as f64;
+        if median > 0.0 {
+            UNIT_NANOS / median
+        } else {
+            1.0
+        }
+    }
+
+    /// The span of a typical call in the common unit.
+    pub(crate) fn typical(&self) -> f64 {
+        if self.profiles.len() == 1 {
+            self.profiles[0].calls.median().as_nanos() as f64
+        } else {
+            UNIT_NANOS
+        }
     }
 
     /// Evictions since the last call of this function.
@@ -307,18 +363,26 @@
         self.states[ix.index()].outstanding += 1;
     }
 
-    /// Takes an answer after `span`.
+    /// Takes an answer after `span` to a call of the first class.
     pub fn answered(&mut self, ix: Ix, span: Duration, now: Time) {
-        let expected = self.expected_span(ix, now);
-        self.excess.record(span.saturating_sub(expected));
-        self.calls.record(span);
+        self.answered_in(Class::default(), ix, span, now);
+    }
+
+    /// Takes an answer after `span` to a call of `class`.
+    pub fn answered_in(&mut self, class: Class, ix: Ix, span: Duration, now: Time) {
+        let expected = self.expected_span(class, ix, now);
+        let profile = &mut self.profiles[class.index()];
+        profile.excess.record(span.saturating_sub(expected));
+        profile.calls.record(span);
         self.damped.record(ix, span, now);
+        let scaled = span.mul_f64(self.scale(class));
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
-        state.estimate.record(span, now);
+        state.estimate.record(scaled, now);
         state.points = 0;
         state.evictions = 0;
         state.evicted = None;
+        state.stalled = Time::ZERO;
     }
 
     /// Takes the failure of a call.
@@ -329,24 +393,36 @@
             Failure::Refused(Refusal::Draining) => state.leaving = true,
             Failure::Cut | Failure::Refused(Refusal::NoSnapshot | Refusal::Deadline) => {}
             Failure::Refused(_) => state.rest = now + REFUSED_REST,
-            Failure::NotSent | Failure::Lost => self.count(POINTS_LOST, ix, failure, now),
+            Failure::NotSent | Failure::Lost | Failure::Failed => {
+                self.count(POINTS_LOST, ix, failure, now);
+            }
         }
     }
 
     /// Takes a call that was cancelled unanswered after `span`. A back end
     /// that lets calls run into cancellation one after the other is frozen or
     /// silent, though it never fails a call by itself.
-    pub fn cancelled(&mut self, ix: Ix, span: Duration, now: Time) {
-        let usual = self.calls.median() * 3;
-        let late = self.hedge_delay(ix, now).unwrap_or(usual);
+    pub fn cancelled(&mut self, class: Class, ix: Ix, span: Duration, now: Time) {
+        let profile = &self.profiles[class.index()];
+        let known = profile.calls.count() > 0;
+        let usual = profile.calls.median() * 3;
+        let late = self.hedge_delay(class, ix, now).unwrap_or(usual);
+        let scaled = span.mul_f64(self.scale(class));
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
-        state.estimate.record_at_least(span, now);
-        if span >= late && self.calls.count() > 0 {
+        state.estimate.record_at_least(scaled, now);
+        if span >= late && known {
             self.count(POINTS_LATE, ix, Failure::Lost, now);
         }
     }
 
+    /// Takes it that a call to `ix` is late enough for a hedge. Until the back
+    /// end answers a call, or for a while, others are preferred: a leaf that
+    /// pauses keeps every call that it is sent waiting for the whole pause.
+    pub fn stalled(&mut self, ix: Ix, now: Time) {
+        self.states[ix.index()].stalled = now + STALL_REST;
+    }
+
     /// Marks a back end as lacking a snapshot for a while.
     pub fn lacks(&mut self, ix: Ix, version: IndexVersion, now: Time) {
         let state = &mut self.states[ix.index()];
@@ -365,27 +441,30 @@
     /// Whether a back end rests after refusing a call.
     #[must_use]
     pub(crate) fn is_resting(&self, ix: Ix, now: Time) -> bool {
-        self.config.guard == Guard::On && now < self.states[ix.index()].rest
+        let state = &self.states[ix.index()];
+        self.config.guard == Guard::On && (now < state.rest || now < state.stalled)
     }
 
-    /// Expected nanoseconds of a call, from what calls took.
+    /// Expected nanoseconds of a call of `class`, from what calls took.
     #[must_use]
-    pub fn expected(&self, ix: Ix, now: Time) -> f64 {
-        let typical = self.calls.median().as_nanos() as f64;
-        self.states[ix.index()].estimate.mean_at(now, typical)
+    pub fn expected(&self, class: Class, ix: Ix, now: Time) -> f64 {
+        let estimate = &self.states[ix.index()].estimate;
+        estimate.mean_at(now, self.typical()) / self.scale(class)
     }
 
     /// [`Table::expected`] as a span.
     #[must_use]
-    pub fn expected_span(&self, ix: Ix, now: Time) -> Duration {
-        Duration::from_nanos(self.expected(ix, now) as u64)
+    pub fn expected_span(&self, class: Class, ix: Ix, now: Time) -> Duration {
+        Duration::from_nanos(self.expected(class, ix, now) as u64)
     }
 
-    /// Delay from the sending of a call to `ix` to its hedge.
+    /// Delay from the sending of a call of `class` to `ix` to its hedge.
     #[must_use]
-    pub(crate) fn hedge_delay(&self, ix: Ix, now: Time) -> Option<Duration> {
-        let expected = self.expected_span(ix, now);
-        self.config.hedge.delay(expected, &self.calls, &self.excess)
+    pub(crate) fn hedge_delay(&self, class: Class, ix: Ix, now: Time) -> Option<Duration> {
+        let expected = self.expected_span(class, ix, now);
+        let profile = &self.profiles[class.index()];
+        let hedge = self.config.hedge;
+        hedge.delay(expected, &profile.calls, &profile.excess)
     }
 
     /// Factor by which a hint and the ramp of a cold leaf worsen a score.
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -4,7 +4,7 @@
 
 use chestnut_unit::{IndexVersion, ShardName, Snapshot, Time};
 
-use crate::{Ix, Table};
+use crate::{Ix, PurseId, Table};
 
 /// Index versions that are kept for pinning and for queries under way.
 const VERSIONS_KEPT: usize = 8;
@@ -16,6 +16,8 @@
     pub name: ShardName,
     /// Back ends that hold it, or that hold leafs that do.
     pub replicas: Vec<Ix>,
+    /// Who pays for extra calls to it.
+    pub purse: PurseId,
 }
 
 /// The back ends of every shard of a snapshot. A query keeps the one that it
--- a/crates/route/tests/query_model.rs
+++ b/crates/route/tests/query_model.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use chestnut_route::{
-    Action, Backend, CallId, Context, Failure, Query, QueryConfig, Refusal, Route, Routes, Table,
-    TableConfig,
+    Action, Backend, CallId, Context, Failure, PurseId, Query, QueryConfig, Refusal, Route, Routes,
+    Table, TableConfig,
 };
 use chestnut_unit::{IndexVersion, LeafId, ServiceName, ShardName, Share, Snapshot, Time};
 use proptest::{prelude::*, test_runner::RngSeed};
@@ -57,6 +57,7 @@
     let shard = |s: usize, replicas| Route {
         name: ShardName::new(format!("s{s}")).unwrap(),
         replicas,
+        purse: PurseId::default(),
     };
     let shards = (0..SHARDS)
         .map(|s| shard(s, (0..REPLICAS).map(|r| leaf(s + r * SHARDS)).collect()))
@@ -126,7 +127,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut out = Vec::new();
         let mut now = Time::from_millis(100);
-        let config = QueryConfig { deadline: Time::from_millis(400), least: Share::WHOLE };
+        let config = QueryConfig::new(Time::from_millis(400), Share::WHOLE);
         let mut naive = Naive::default();
         let mut cx = Context { table: &mut table, now, rng: &mut rng, out: &mut out };
         let mut query: Query<usize> = Query::start(routes.clone(), None, config, &mut cx);
--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -5,7 +5,8 @@
 use chestnut_conf::OrgLimits;
 use chestnut_route::{
     Action, Backend, Budget, Choice, Context, End, Failure, Give, Ix, Limit, OrgGates, Pick, Pool,
-    Query, QueryConfig, Ran, Refusal, Route, Routes, Table, TableConfig, Versions, choose_replica,
+    PurseId, Query, QueryConfig, Ran, Refusal, Route, Routes, Table, TableConfig, Versions,
+    choose_replica,
 };
 use chestnut_unit::{
     IndexVersion, LeafId, OrgName, Rate, ServiceName, ShardName, Share, Snapshot, Time,
@@ -35,6 +36,7 @@
         shards: vec![Route {
             name: ShardName::new("s0").unwrap(),
             replicas,
+            purse: PurseId::default(),
         }],
     }
 }
@@ -51,10 +53,7 @@
     fn start(mut table: Table, replicas: Vec<Ix>, now: Time) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut out = Vec::new();
-        let config = QueryConfig {
-            deadline: now + Duration::from_secs(1),
-            least: Share::WHOLE,
-        };
+        let config = QueryConfig::new(now + Duration::from_secs(1), Share::WHOLE);
         let mut cx = Context {
             table: &mut table,
             now,
--- a/crates/tier/src/boot.rs
+++ b/crates/tier/src/boot.rs
@@ -40,7 +40,7 @@
         starting
     });
     shared.place.notify_one();
-    info!(shared.log, "fleet: {} serves", shared.own.id);
+    info!(shared.host.log, "fleet: {} serves", shared.own.id);
 }
 
 /// Reads everything from the platform; tells whether all of it came.
--- a/crates/tier/src/edit.rs
+++ b/crates/tier/src/edit.rs
@@ -49,7 +49,7 @@
         }
         sleep(REST).await;
     }
-    warn!(shared.log, "conf: edit of {} got no answer", ask.key; "edit" => &ask.id);
+    warn!(shared.host.log, "conf: edit of {} got no answer", ask.key; "edit" => &ask.id);
     if asked {
         Err(EditError::Unsettled { id: ask.id })
     } else {
@@ -88,7 +88,7 @@
         id: ask.id.clone(),
         version: version + 1,
         by: ask.by.clone(),
-        at: shared.clock.wall(),
+        at: shared.host.clock.wall(),
     };
     let next = Stored::next(stored.as_ref(), ask.spec.clone(), edit);
     let value = serde_json::to_value(next).expect("stored objects are plain JSON");
@@ -117,7 +117,7 @@
 }
 
 fn accept(shared: &Arc<Shared>, ask: &EditRequest, object: Object) {
-    info!(shared.log, "conf: accepted {} version {}", ask.key, object.version;
+    info!(shared.host.log, "conf: accepted {} version {}", ask.key, object.version;
         "edit" => &ask.id, "by" => &ask.by);
     spread::take(shared, vec![object], "an edit here");
 }
--- a/crates/tier/src/gossip.rs
+++ b/crates/tier/src/gossip.rs
@@ -11,7 +11,7 @@
 /// Probes, and answers probes, until the entry stops.
 pub(crate) async fn run(shared: Arc<Shared>) {
     loop {
-        let wake = shared.clock.instant(lock(&shared.swim).wake());
+        let wake = shared.host.clock.instant(lock(&shared.swim).wake());
         let mut out = Vec::new();
         tokio::select! {
             biased;
@@ -71,7 +71,7 @@
             Change::Gone => "is gone",
             Change::None => continue,
         };
-        info!(shared.log, "fleet: {id} {word}");
+        info!(shared.host.log, "fleet: {id} {word}");
         moved |= change != Change::Suspected;
         if change == Change::Gone {
             lock(&shared.conf).confirm.forget(&id);
--- a/crates/tier/src/leafs.rs
+++ b/crates/tier/src/leafs.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    service::Service,
+    service::{Service, held, mark_leaving},
     shared::{Shared, lock},
 };
 
@@ -25,7 +25,7 @@
     loop {
         sleep(READ_EVERY).await;
         for service in shared.services() {
-            let reads = service.held().into_iter().map(|(_, id, address)| {
+            let reads = held(&service).into_iter().map(|(_, id, address)| {
                 let targets = shared.targets.clone();
                 async move { (id.clone(), targets.state(id, address).await) }
             });
@@ -41,13 +41,13 @@
 fn note(shared: &Shared, service: &Service, id: &LeafId, said: &LeafState) {
     let now = shared.now();
     let listed = lock(&shared.leaving).contains(id);
-    if service.mark_leaving(id, said.draining || listed, now) {
+    if mark_leaving(service, id, said.draining || listed, now) {
         let word = if said.draining || listed {
             "leaving"
         } else {
             "back"
         };
-        info!(shared.log, "hold: leaf {id} is {word}";
+        info!(shared.host.log, "hold: leaf {id} is {word}";
             "service" => %service.name, "why" => "its own mark");
     }
     let mut state = lock(&service.state);
@@ -91,8 +91,8 @@
         }
         new.push(id.clone());
         for service in shared.services() {
-            if service.mark_leaving(id, true, now) {
-                info!(shared.log, "hold: leaf {id} is leaving";
+            if mark_leaving(&service, id, true, now) {
+                info!(shared.host.log, "hold: leaf {id} is leaving";
                     "service" => %service.name, "why" => why);
             }
         }
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -13,11 +13,10 @@
 mod admin;
 mod api;
 mod boot;
+mod calls;
 mod edge;
 mod edit;
-mod fanout;
 mod front;
-mod gate;
 mod gossip;
 mod leafs;
 mod metrics;
--- a/crates/tier/src/peers.rs
+++ b/crates/tier/src/peers.rs
@@ -56,12 +56,12 @@
     fn records(&self, batch: &[u8]) {
         match serde_json::from_slice(batch) {
             Ok(batch) => lock(&self.0.copies).add(batch),
-            Err(_) => slog::warn!(self.0.log, "refuse: a peer's records can't be read"),
+            Err(_) => slog::warn!(self.0.host.log, "refuse: a peer's records can't be read"),
         }
     }
 
     fn adopt(&self, tickets: Vec<Handed>) -> Incarnation {
-        info!(self.0.log, "keep: took over {} tickets", tickets.len());
+        info!(self.0.host.log, "keep: took over {} tickets", tickets.len());
         lock(&self.0.keeper).adopt(tickets);
         self.0.own.incarnation
     }
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -4,7 +4,7 @@
 
 use chestnut_conf::{Kind, Service as ServiceObject};
 use chestnut_fleet::{HolderPlan, Member};
-use chestnut_route::{Backend, Ix, Route, Routes};
+use chestnut_route::{Backend, Ix, PurseId, Route, Routes};
 use chestnut_unit::{Layout, LeafId, ServiceName};
 use slog::info;
 use tokio::time::sleep;
@@ -49,7 +49,7 @@
         let more = now_held.difference(&held).count();
         let fewer = held.difference(&now_held).count();
         info!(
-            shared.log,
+            shared.host.log,
             "hold: {} leafs, {more} new, {fewer} given up",
             now_held.len()
         );
@@ -105,7 +105,7 @@
             (Ok(name), Ok(object)) if object.check().is_ok() => {
                 services.insert(name, object);
             }
-            _ => slog::warn!(shared.log, "hold: service object {name} can't be read"),
+            _ => slog::warn!(shared.host.log, "hold: service object {name} can't be read"),
         }
     }
     let mut layouts: BTreeMap<ServiceName, Vec<Layout>> = BTreeMap::new();
@@ -115,7 +115,7 @@
                 let service = layout.snapshot.service.clone();
                 layouts.entry(service).or_default().push(layout);
             }
-            Err(_) => slog::warn!(shared.log, "hold: layout object {name} can't be read"),
+            Err(_) => slog::warn!(shared.host.log, "hold: layout object {name} can't be read"),
         }
     }
     (services, layouts)
@@ -146,14 +146,14 @@
             }
         }
         let current = |v| self.object.versions.contains(&v);
-        state.versions.retain(current);
-        state.local.retain(current);
+        state.extra.versions.retain(current);
+        state.extra.local.retain(current);
         for layout in layouts {
             if current(layout.snapshot.version) {
                 self.route(&mut state, layout, &backends, &places);
             }
         }
-        state.places = places;
+        state.extra.places = places;
     }
 
     fn add_leaf(&self, state: &mut State, id: &LeafId, slots: u32) -> Ix {
@@ -161,7 +161,7 @@
         let backend = Backend::Leaf(id.clone());
         // Leafs known from the start are warm as far as anybody can tell; those
         // that come later have just started.
-        let since = if state.places.is_empty() {
+        let since = if state.extra.places.is_empty() {
             chestnut_unit::Time::ZERO
         } else {
             now
@@ -222,18 +222,20 @@
             local.push(Route {
                 name: shard.name.clone(),
                 replicas: replicas.iter().copied().filter(here).collect(),
+                purse: PurseId::default(),
             });
             all.push(Route {
                 name: shard.name.clone(),
                 replicas,
+                purse: PurseId::default(),
             });
         }
         let snapshot = layout.snapshot.clone();
-        state.local.insert(Routes {
+        state.extra.local.insert(Routes {
             snapshot: snapshot.clone(),
             shards: local,
         });
-        state.versions.insert(Routes {
+        state.extra.versions.insert(Routes {
             snapshot,
             shards: all,
         });
--- a/crates/tier/src/query.rs
+++ b/crates/tier/src/query.rs
@@ -7,6 +7,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use chestnut_conf::{CallKind, CallPolicy, OrgPolicy};
+use chestnut_flow::{Running, admit, run};
 use chestnut_port::{SubAnswer, SubQuery};
 use chestnut_route::{End, Failure, Give, Order, Query, QueryConfig, Refusal, Routes, Yields};
 use chestnut_unit::{Reason, Run, Share, Time};
@@ -14,10 +15,9 @@
 
 use crate::{
     api::{Answer, QueryRequest, Refused, SettingsUsed},
-    fanout::{self, Ask},
-    gate::{self, Running},
+    calls::Ask,
     refuse::{Subject, Why, refuse},
-    service::Service,
+    service::{Placed, Service},
     shared::{Phase, Shared, lock},
 };
 
@@ -194,17 +194,14 @@
     let _pass = pass(shared, &ask.organisation, &ground, policy)?;
     let deadline = deadline(shared, ask.deadline, policy);
     let order = order(subject, policy, deadline);
-    let mut running = gate::admit(shared, &service, order)
+    let mut running = admit(&shared.host, &service, order)
         .await
         .map_err(|(reason, after)| Why::not_run(reason, "at admission").after(after))?;
-    if shared.log_routes {
-        debug!(shared.log, "admit: {} runs", ask.service;
+    if shared.host.trace {
+        debug!(shared.host.log, "admit: {} runs", ask.service;
             "request" => subject.request.0, "why" => policy.urgency.as_str());
     }
-    let config = QueryConfig {
-        deadline,
-        least: policy.least,
-    };
+    let config = QueryConfig::new(deadline, policy.least);
     let query = fan_out(shared, &service, ask, subject, config, &mut running).await?;
     drop(running);
     let coverage = query.coverage();
@@ -229,9 +226,11 @@
     ask: &QueryRequest,
     subject: &Subject,
     config: QueryConfig,
-    running: &mut Running<'_>,
+    running: &mut Running<'_, Placed>,
 ) -> Result<Query<Bytes>, Why> {
     let asked = Ask {
+        shared,
+        service,
         request: subject.request,
         body: ask.body.clone(),
     };
@@ -240,7 +239,7 @@
         let Some(routes) = pin(shared, service) else {
             break;
         };
-        let query = fanout::run(shared, service, asked.clone(), routes, None, config).await;
+        let query = run(&shared.host, service, &asked, routes, None, config).await;
         running.calls += query.calls() as u32;
         running.sheds += query.sheds();
         let lost = query.end() == Some(End::Partial(Give::SnapshotLost));
@@ -253,7 +252,7 @@
         if !lost {
             break;
         }
-        debug!(shared.log, "retry: the snapshot is gone, starting over";
+        debug!(shared.host.log, "retry: the snapshot is gone, starting over";
             "request" => subject.request.0);
     }
     best.ok_or_else(|| Why::not_run(Reason::NoSnapshot, "no index version has a live leaf"))
@@ -262,7 +261,7 @@
 fn pin(shared: &Shared, service: &Service) -> Option<Arc<Routes>> {
     let now = shared.now();
     let state = lock(&service.state);
-    state.versions.pin(&state.table, now)
+    state.extra.versions.pin(&state.table, now)
 }
 
 /// Why an answer does not cover enough.
@@ -325,7 +324,7 @@
     let Some(service) = shared.service(&ask.service) else {
         return SubAnswer::Failed(Failure::Refused(Refusal::NoSnapshot));
     };
-    let Some(routes) = lock(&service.state).local.get(ask.index) else {
+    let Some(routes) = lock(&service.state).extra.local.get(ask.index) else {
         return SubAnswer::Failed(Failure::Refused(Refusal::NoSnapshot));
     };
     let held = |at: &usize| {
@@ -344,15 +343,22 @@
         // Views differ: the asker still takes us for a holder. Nothing ran.
         return SubAnswer::Failed(Failure::Refused(Refusal::Connections));
     }
-    let config = QueryConfig {
-        deadline: shared.now() + ask.deadline,
-        least: Share::from_permille(0),
-    };
+    let config = QueryConfig::new(shared.now() + ask.deadline, Share::from_permille(0));
     let asked = Ask {
+        shared,
+        service: &service,
         request: ask.request,
         body: ask.body,
     };
-    let query = fanout::run(shared, &service, asked, routes, Some(&subset), config).await;
+    let query = run(
+        &shared.host,
+        &service,
+        &asked,
+        routes,
+        Some(&subset),
+        config,
+    )
+    .await;
     if query.coverage().answered == 0 {
         let lost = query.end() == Some(End::Partial(Give::SnapshotLost));
         return SubAnswer::Failed(match query.not_run() {
--- a/crates/tier/src/records.rs
+++ b/crates/tier/src/records.rs
@@ -57,7 +57,7 @@
     let left = shared.peers().records(address, Bytes::from(copy)).await;
     if left.is_ok() {
         info!(
-            shared.log,
+            shared.host.log,
             "refuse: left {} records with {peer}",
             batch.records.len()
         );
--- a/crates/tier/src/refuse.rs
+++ b/crates/tier/src/refuse.rs
@@ -85,7 +85,7 @@
 
 /// Refuses a request.
 pub(crate) fn refuse(shared: &Shared, subject: &Subject, why: Why) -> Refused {
-    let wall = shared.clock.wall();
+    let wall = shared.host.clock.wall();
     let receipt = Receipt {
         entry: shared.own.id.clone(),
         request: subject.request,
@@ -99,7 +99,7 @@
         call: subject.call.clone(),
     };
     let text = receipt.encode(&shared.check);
-    info!(shared.log, "refuse: {}", why.reason;
+    info!(shared.host.log, "refuse: {}", why.reason;
         "request" => subject.request.0, "run" => why.run.as_str(), "why" => &why.detail,
         "organisation" => subject.organisation.as_ref().map_or("-", OrgName::as_str));
     shared.metrics.count_refusal(why.reason);
--- a/crates/tier/src/shared.rs
+++ b/crates/tier/src/shared.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        Arc, Mutex, OnceLock,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
@@ -11,16 +11,21 @@
 use chestnut_audit::{CheckKey, Copies, Journal, JournalConfig};
 use chestnut_conf::{Book, BookDigest, Kind, OrgPolicy, Settings};
 use chestnut_fleet::{Confirm, Entry, Member, Status, Swim, SwimConfig, order_entries};
+use chestnut_flow::Host;
+pub(crate) use chestnut_flow::lock;
 use chestnut_once::{Keeper, KeeperConfig};
 use chestnut_port::{Clock, Peers, Platform, Probes, SubmitReply, Targets};
 use chestnut_route::OrgGates;
 use chestnut_unit::{DomainName, LeafId, MemberId, OrgName, RequestId, ServiceName, Time};
-use rand::{Rng, SeedableRng};
+use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::{metrics::Metrics, service::Service};
+use crate::{
+    metrics::Metrics,
+    service::{self, Service},
+};
 
 /// Batches of refusal records of other entries that are kept: with 2,000
 /// records each about 20 MB at most.
@@ -105,9 +110,7 @@
 /// What the tasks of one entry share.
 pub(crate) struct Shared {
     pub(crate) settings: Settings,
-    pub(crate) log: Logger,
-    pub(crate) log_routes: bool,
-    pub(crate) clock: Clock,
+    pub(crate) host: Host,
     pub(crate) targets: Arc<dyn Targets>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) probes: Arc<dyn Probes>,
@@ -130,8 +133,6 @@
     pub(crate) differs: mpsc::Sender<Differs>,
     requests: AtomicU64,
     pub(crate) in_flight: AtomicU32,
-    draws: AtomicU64,
-    seed: u64,
 }
 
 /// The ports as [`Shared`] keeps them.
@@ -167,15 +168,18 @@
         let now = ports.clock.now();
         Self {
             check: CheckKey::from_secret(&control.secret),
-            log_routes: settings.log.level == chestnut_conf::LogLevel::Debug,
+            host: Host::new(
+                log,
+                settings.log.level == chestnut_conf::LogLevel::Debug,
+                ports.clock,
+                seed,
+            ),
             swim: Mutex::new(Swim::new(swim, own.clone(), now)),
             keeper: Mutex::new(Keeper::new(own.id.clone(), own.incarnation, keeper)),
             journal: Mutex::new(Journal::new(journal, own.id.clone(), own.incarnation)),
             copies: Mutex::new(Copies::new(COPIES)),
             metrics: Metrics::new(),
             settings,
-            log,
-            clock: ports.clock,
             targets: ports.targets,
             platform: ports.platform,
             probes: ports.probes,
@@ -192,8 +196,6 @@
             differs,
             requests: AtomicU64::new(1),
             in_flight: AtomicU32::new(0),
-            draws: AtomicU64::new(0),
-            seed,
         }
     }
 
@@ -203,7 +205,7 @@
     }
 
     pub(crate) fn now(&self) -> Time {
-        self.clock.now()
+        self.host.now()
     }
 
     pub(crate) fn phase(&self) -> Phase {
@@ -216,8 +218,7 @@
 
     /// A generator for one decision or request, from the entry's seed.
     pub(crate) fn rng(&self) -> ChaCha8Rng {
-        let draw = self.draws.fetch_add(1, Ordering::Relaxed);
-        ChaCha8Rng::seed_from_u64(self.seed.wrapping_add(draw))
+        self.host.rng()
     }
 
     /// Fills a ticket's nonce. It comes from the system, not from the seed:
@@ -238,7 +239,7 @@
     pub(crate) fn service_or_new(&self, name: &ServiceName) -> Arc<Service> {
         lock(&self.services)
             .entry(name.clone())
-            .or_insert_with(|| Arc::new(Service::new(name.clone(), &self.settings.route)))
+            .or_insert_with(|| Arc::new(service::new(name.clone(), &self.settings.route)))
             .clone()
     }
 
@@ -288,9 +289,3 @@
         peers
     }
 }
-
-/// Locks a table. A task that panicked while holding it broke an invariant and
-/// has ended; the tables hold counts and maps that stay usable for others.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/tier/src/spread.rs
+++ b/crates/tier/src/spread.rs
@@ -43,7 +43,7 @@
             Applied::Old => {
                 shared.metrics.stale.inc();
                 debug!(
-                    shared.log,
+                    shared.host.log,
                     "conf: dropped old {} version {}", object.key, object.version
                 );
             }
@@ -56,7 +56,7 @@
     conf.changed();
     drop(conf);
     for object in &new {
-        info!(shared.log, "conf: {} version {} in force", object.key, object.version;
+        info!(shared.host.log, "conf: {} version {} in force", object.key, object.version;
             "from" => from);
     }
     if new
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -5,6 +5,7 @@
 use chestnut_conf::{Kind, Versions};
 use chestnut_fleet::Liveness;
 use chestnut_route::Backend;
+use chestnut_route::Class;
 use serde::Serialize;
 
 use crate::{
@@ -138,7 +139,7 @@
     let mut list = Vec::new();
     for service in shared.services() {
         let state = lock(&service.state);
-        for (ix, place) in &state.places {
+        for (ix, place) in &state.extra.places {
             let evicted = state.table.evicted_until(*ix, now);
             let (target, place_word, connections) = match (state.table.backend(*ix), place) {
                 (Backend::Leaf(id), _) => (
@@ -161,7 +162,7 @@
                 },
                 evicted_ms: evicted.map_or(0, |until| until.since(now).as_millis() as u64),
                 outstanding: state.table.outstanding(*ix),
-                expected_ms: state.table.expected(*ix, now) / 1e6,
+                expected_ms: state.table.expected(Class::default(), *ix, now) / 1e6,
                 connections,
             });
         }
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_conf::CallKind;
+use chestnut_flow::admit;
 use chestnut_once::{Claim, Outcome};
 use chestnut_port::{Dispatch, LeafSubmit, PeerError, Submission, SubmitReply};
 use chestnut_route::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, choose_replica};
@@ -14,7 +15,6 @@
 
 use crate::{
     api::{Refused, SubmitOutcome, SubmitRequest, TicketReply},
-    gate,
     query::{self, InFlight},
     refuse::{Subject, Why, refuse},
     service::{Place, Service},
@@ -28,7 +28,7 @@
 pub(crate) fn mint(shared: &Shared) -> Result<TicketReply, Refused> {
     let mut nonce = [0; 16];
     shared.nonce(&mut nonce);
-    let wall = shared.clock.wall();
+    let wall = shared.host.clock.wall();
     let minted = lock(&shared.keeper).mint(nonce, wall);
     let Some(ticket) = minted else {
         let subject = Subject {
@@ -105,7 +105,7 @@
     if keeper.id == shared.own.id {
         return keep(shared, ask).await;
     }
-    debug!(shared.log, "keep: passing ticket to {}", keeper.id);
+    debug!(shared.host.log, "keep: passing ticket to {}", keeper.id);
     pass_on(shared, keeper.addresses.peers, ask).await
 }
 
@@ -125,7 +125,7 @@
 
 /// Decides on a submission whose ticket this entry keeps.
 pub(crate) async fn keep(shared: &Arc<Shared>, ask: Submission) -> SubmitReply {
-    let wall = shared.clock.wall();
+    let wall = shared.host.clock.wall();
     let body = body_hash(&ask);
     let claim = lock(&shared.keeper).claim(&ask.ticket, body, wall);
     match claim {
@@ -243,13 +243,13 @@
     let _pass = query::pass(shared, &ask.organisation, &ground, policy)?;
     let deadline = query::deadline(shared, Some(ask.deadline), policy);
     let order = query::order(subject, policy, deadline);
-    let _running = gate::admit(shared, &service, order)
+    let _running = admit(&shared.host, &service, order)
         .await
         .map_err(|(reason, after)| Why::not_run(reason, "at admission").after(after))?;
     let now = shared.now();
     let routes = {
         let state = lock(&service.state);
-        state.versions.pin(&state.table, now)
+        state.extra.versions.pin(&state.table, now)
     };
     let routes = routes.ok_or_else(|| Why::not_run(Reason::NoSnapshot, "no live leaf"))?;
     let shard = (shared.rng().next_u64() % routes.shards.len().max(1) as u64) as usize;
@@ -326,7 +326,7 @@
                 attempts.answer = Some(answer);
                 return attempts;
             }
-            Err(failure @ (Failure::Lost | Failure::Cut)) => {
+            Err(failure @ (Failure::Lost | Failure::Cut | Failure::Failed)) => {
                 attempts.ends.push(attempt.lose());
                 attempts.last = failure;
                 return attempts;
@@ -345,12 +345,12 @@
 
 /// Logs which replica a submission goes to, and at which attempt.
 fn log_choice(shared: &Shared, place: &Place, one: &One, earlier: usize) {
-    if !shared.log_routes {
+    if !shared.host.trace {
         return;
     }
     let (Place::Leaf(_, address) | Place::Peer(_, address)) = place;
     let part = if earlier == 0 { "choose" } else { "retry" };
-    debug!(shared.log, "{part}: {address} for a submission";
+    debug!(shared.host.log, "{part}: {address} for a submission";
         "request" => one.request.0, "why" => format!("attempt {}", earlier + 1));
 }
 
@@ -368,7 +368,7 @@
     let version = routes.snapshot.version;
     let to = choose_replica(&mut state.table, replicas, tried, version, now, &mut rng)?;
     state.table.sent(to);
-    Some((to, state.places.get(&to)?.clone()))
+    Some((to, state.extra.places.get(&to)?.clone()))
 }
 
 fn count(shared: &Shared, service: &Service, to: Ix, sent: Time, result: &Result<Bytes, Failure>) {
@@ -425,7 +425,11 @@
 pub(crate) async fn dispatch_here(shared: &Shared, ask: Dispatch) -> Result<Bytes, Failure> {
     let unrun = Failure::Refused(Refusal::Connections);
     let service = shared.service(&ask.service).ok_or(unrun)?;
-    let routes = lock(&service.state).local.get(ask.index).ok_or(unrun)?;
+    let routes = lock(&service.state)
+        .extra
+        .local
+        .get(ask.index)
+        .ok_or(unrun)?;
     let one = One {
         request: ask.request,
         call: ask.call,
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -217,7 +217,7 @@
         if !entered {
             return;
         }
-        info!(shared.log, "fleet: {} is leaving", shared.own.id);
+        info!(shared.host.log, "fleet: {} is leaving", shared.own.id);
         let left = shared.now();
         lock(&shared.swim).leave(None);
         tell_peers(shared).await;
@@ -228,7 +228,7 @@
         let drained = timeout(grace, nothing_in_flight(shared)).await;
         if drained.is_err() {
             warn!(
-                shared.log,
+                shared.host.log,
                 "fleet: requests are still in flight after {grace:?}"
             );
         }
@@ -242,12 +242,15 @@
             .await
             .is_err()
         {
-            warn!(shared.log, "fleet: the last records could not be written");
+            warn!(
+                shared.host.log,
+                "fleet: the last records could not be written"
+            );
         }
         let farewells = lock(&shared.swim).stop(shared.status(), FAREWELLS);
         gossip::send_all(shared, farewells).await;
         shared.phase.send_replace(Phase::Stopped);
-        info!(shared.log, "fleet: {} has stopped", shared.own.id);
+        info!(shared.host.log, "fleet: {} has stopped", shared.own.id);
     }
 }
 
@@ -297,7 +300,7 @@
         sleep(HEIR_REST).await;
     }
     warn!(
-        shared.log,
+        shared.host.log,
         "keep: nobody took over the tickets; repeats will be unknown"
     );
 }
@@ -317,7 +320,7 @@
     let Ok(life) = shared.peers().adopt(address, tickets).await else {
         return false;
     };
-    info!(shared.log, "keep: handed {count} tickets to {member}");
+    info!(shared.host.log, "keep: handed {count} tickets to {member}");
     lock(&shared.swim).leave(Some(Heir { member, life }));
     true
 }
--- a/crates/tier/src/watch.rs
+++ b/crates/tier/src/watch.rs
@@ -32,7 +32,7 @@
         let turn = is_watcher(&shared);
         if turn != watching {
             let word = if turn { "watches" } else { "no longer watches" };
-            info!(shared.log, "conf: this entry {word} the platform";
+            info!(shared.host.log, "conf: this entry {word} the platform";
                 "domain" => %shared.own.domain);
             watching = turn;
         }
@@ -63,7 +63,7 @@
     tokio::select! {
         biased;
         () = async { futures::future::select_all(watches.map(Box::pin)).await; } => {
-            warn!(shared.log, "conf: the watch of the platform ended");
+            warn!(shared.host.log, "conf: the watch of the platform ended");
         }
         () = read_vms(shared) => {}
         () = turn_over(shared) => {}
@@ -84,7 +84,7 @@
             }
             Err(PlatformError::Unavailable) => return,
             Err(error) => {
-                warn!(shared.log, "conf: watch of {kind} failed"; "why" => %error);
+                warn!(shared.host.log, "conf: watch of {kind} failed"; "why" => %error);
                 return;
             }
         }
