Find watches whose answer was lost; divide among at least one entry

The store's revision is now asked for every second at a tenth of the price; a watch that is silent about a change is started again. Entries that only warm up are no news.

--- a/crates/port/src/feed.rs
+++ b/crates/port/src/feed.rs
@@ -52,6 +52,9 @@
     /// Reads all objects.
     fn list(&self, freshness: Freshness) -> BoxFuture<'_, Result<Batch<T>, FeedError>>;
 
+    /// The store's revision, at little cost. It may be some seconds old.
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>>;
+
     /// Waits up to `wait` for objects to change after `revision`.
     fn watch(&self, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<T>, FeedError>>;
 }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use chestnut_port::FeedError;
-use chestnut_unit::Time;
 use rand::Rng;
 
 /// The next call.
@@ -31,7 +30,6 @@
 pub struct Follower {
     revision: Option<u64>,
     failures: u32,
-    since: Option<Time>,
 }
 
 impl Follower {
@@ -41,29 +39,20 @@
         self.revision.map_or(Next::List, Next::Watch)
     }
 
-    /// Since when the store has not answered, if it does not.
-    #[must_use]
-    pub fn lost_since(&self) -> Option<Time> {
-        self.since
-    }
-
-    /// Takes an answer that goes up to `revision`; tells for how long the
-    /// store had been lost, if it had.
-    pub fn answered(&mut self, revision: u64, now: Time) -> Option<Duration> {
+    /// Takes an answer that goes up to `revision`.
+    pub fn answered(&mut self, revision: u64) {
         // An answer from a stale copy must not take the watch back: it would
         // bring the same changes again.
         self.revision = Some(self.revision.unwrap_or(0).max(revision));
         self.failures = 0;
-        self.since.take().map(|since| now.since(since))
     }
 
     /// Takes a failure; returns how long to rest.
-    pub fn failed(&mut self, error: &FeedError, now: Time, rng: &mut dyn Rng) -> Duration {
+    pub fn failed(&mut self, error: &FeedError, rng: &mut dyn Rng) -> Duration {
         if *error == FeedError::HistoryGone {
             self.revision = None;
             return Duration::ZERO;
         }
-        self.since.get_or_insert(now);
         let rest = (REST_FIRST * 2u32.pow(self.failures.min(8))).min(REST_MAX);
         self.failures += 1;
         let draw = rng.next_u64() as f64 / u64::MAX as f64;
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -30,6 +30,20 @@
     pub warmup: Duration,
 }
 
+impl LeafEntry {
+    /// Whether `other` says the same, the time left to warm up apart: it
+    /// changes with every heartbeat of a leaf that has just started.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let warmup = self.warmup;
+        *self
+            == Self {
+                warmup,
+                ..other.clone()
+            }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: LeafEntry,
@@ -104,7 +118,7 @@
         let present: std::collections::BTreeSet<LeafId> =
             list.iter().map(|(id, _)| id.clone()).collect();
         for (id, entry) in list {
-            self.changed(id, entry, now, out);
+            self.changed(id, entry, out);
         }
         let absent = self.known.keys().filter(|id| !present.contains(*id));
         for id in absent.cloned().collect::<Vec<_>>() {
@@ -113,9 +127,9 @@
     }
 
     /// Takes a new or changed entry.
-    pub fn changed(&mut self, id: LeafId, entry: LeafEntry, _now: Time, out: &mut Vec<Moved>) {
+    pub fn changed(&mut self, id: LeafId, entry: LeafEntry, out: &mut Vec<Moved>) {
         let old = self.known.get(&id);
-        if old.is_some_and(|known| known.entry == entry && known.missing.is_none()) {
+        if old.is_some_and(|known| known.missing.is_none() && known.entry.is_same(&entry)) {
             return;
         }
         out.push(match entry.state {
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -104,7 +104,7 @@
     }
 
     fn count(&self) -> usize {
-        lock(&self.swim).view.working().count()
+        lock(&self.swim).view.present().count()
     }
 
     fn introduce(&self, shared: &Shared, adverts: &[Advert]) {
@@ -148,6 +148,7 @@
         let rest = match adverts.list(Freshness::Stale).await {
             Ok(list) => {
                 members.introduce(&shared, &list);
+                share(&shared, &members);
                 published |= list.contains(&own);
                 if published {
                     sweep(&shared, &members, &list, &*adverts).await;
@@ -298,6 +299,12 @@
         };
         info!(shared.host.log, "fleet: {id} {word}");
     }
+    share(shared, members);
+}
+
+/// Divides what all entries may use together among those that are there. One
+/// that is leaving still serves and counts.
+fn share(shared: &Shared, members: &Members) {
     let count = members.count();
     shared.metrics.members.set(count as i64);
     shared.share_with(count);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -51,6 +51,7 @@
         let shared = Arc::new(Shared::new(settings, host, ports.forward));
         let members = Arc::new(Members::new(&shared, ports.probes));
         let mut set = JoinSet::new();
+        set.spawn(feeds::pulse(shared.clone(), ports.book.clone()));
         set.spawn(feeds::book(shared.clone(), ports.book));
         set.spawn(feeds::leafs(shared.clone(), ports.leafs));
         set.spawn(members::find(
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::{
     leafs::{LeafEntry, LeafState, Leafs, Moved},
     metrics::Metrics,
+    pulse::Pulse,
     settings::RelaySettings,
 };
 
@@ -83,6 +84,11 @@
 /// Requests that wait for one of those.
 const WAITING_MAX: usize = 64;
 
+/// Entries that share budgets and connections while the others are not known
+/// yet. Too many only leaves some unused for the first moments; too few would
+/// let a group that starts together go beyond its bounds.
+const SHARERS_UNKNOWN: usize = 16;
+
 /// What the tasks of one entry share.
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
@@ -91,6 +97,7 @@
     pub(crate) forward: Arc<dyn Forward>,
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) pulse: watch::Sender<Pulse>,
     pub(crate) in_flight: AtomicU32,
     requests: AtomicU64,
 }
@@ -125,7 +132,7 @@
             purses: BTreeMap::new(),
             gates: BTreeMap::new(),
             routes: BTreeMap::new(),
-            sharers: 1,
+            sharers: SHARERS_UNKNOWN,
         };
         let name = ServiceName::new("relay").expect("a legal name");
         let cell = Cell::new(name, Table::new(config), gate(), ground);
@@ -136,6 +143,7 @@
             forward,
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
+            pulse: watch::Sender::new(Pulse::default()),
             in_flight: AtomicU32::new(0),
             requests: AtomicU64::new(1),
         }
@@ -166,6 +174,8 @@
 
     /// Sets how many entries share the budgets.
     pub(crate) fn share_with(&self, entries: usize) {
+        // This entry may already have said that it ends.
+        let entries = entries.max(1);
         let mut state = lock(&self.cell.state);
         let state = &mut *state;
         if state.extra.sharers == entries {
@@ -184,7 +194,7 @@
 /// Calls that one of `entries` may save up, so that all together stay within
 /// the slack.
 fn burst(settings: &RelaySettings, entries: usize) -> f64 {
-    settings.extra.slack / entries.max(1) as f64
+    settings.extra.slack / entries as f64
 }
 
 fn gate() -> Admission {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -6,6 +6,7 @@
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Feed, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
+use rand::Rng;
 use slog::{info, warn};
 use tokio::time::{sleep, sleep_until};
 
@@ -16,13 +17,16 @@
 };
 
 /// How long one watch waits for a change. Each call is paid for, so as long as
-/// stores let it wait; a connection that falls silent is found by its
-/// keep-alive probes and not by the end of the watch.
+/// stores let it wait; a watch that is lost is found by the pulse and not by
+/// its end.
 const WATCH: Duration = Duration::from_secs(25);
+/// Time between two pulses. A store that is lost or back is noticed within it,
+/// well within the four seconds in which entries are to be in touch again.
+const PULSE: Duration = Duration::from_secs(1);
 /// Pause between an answer of a watch and the next one. Changes mostly come
 /// several at a time, and each call is paid for; a leaf that leaves serves for
-/// some seconds more, so a tenth of a second is in time.
-const GATHER: Duration = Duration::from_millis(100);
+/// some seconds more, so a quarter of a second is in time.
+const GATHER: Duration = Duration::from_millis(250);
 
 /// Follows the book for as long as the entry runs.
 pub(crate) async fn book(shared: Arc<Shared>, feed: Arc<dyn Feed<Book>>) {
@@ -38,6 +42,37 @@
     tokio::join!(follow(&shared, &*feed, "leafs", take), lapses(&shared));
 }
 
+/// Asks for the store's pulse for as long as the entry runs.
+pub(crate) async fn pulse(shared: Arc<Shared>, feed: Arc<dyn Feed<Book>>) {
+    loop {
+        shared.metrics.count_store("pulse");
+        let answer = feed.pulse().await;
+        let now = shared.now();
+        let mut change = (None, false);
+        shared.pulse.send_modify(|pulse| match &answer {
+            Ok(revision) => change.0 = pulse.answered(*revision, now),
+            Err(_) => change.1 = pulse.failed(now),
+        });
+        match (answer, change) {
+            (_, (Some(span), _)) => regained(&shared, span),
+            (Err(error), (_, true)) => {
+                warn!(shared.host.log, "watch: lost the store"; "why" => %error);
+            }
+            _ => {}
+        }
+        // Drawn from three quarters to the whole, so that entries that started
+        // together don't ask together.
+        let draw = shared.host.rng().next_u64() as f64 / u64::MAX as f64;
+        sleep(PULSE.mul_f64(0.75 + 0.25 * draw)).await;
+    }
+}
+
+fn regained(shared: &Shared, span: Duration) {
+    info!(shared.host.log, "watch: the store is back"; "lost_ms" => span.as_millis() as u64);
+    let now = shared.now();
+    lock(&shared.cell.state).extra.leafs.returned(now);
+}
+
 async fn follow<T>(
     shared: &Shared,
     feed: &dyn Feed<T>,
@@ -46,19 +81,27 @@
 ) {
     let mut follower = Follower::default();
     loop {
+        store_there(shared).await;
         let next = follower.next();
         shared.metrics.count_store(what);
         let answer = match next {
             Next::List => feed.list(Freshness::Now).await,
-            Next::Watch(revision) => feed.watch(revision, WATCH).await,
+            Next::Watch(revision) => {
+                let started = shared.pulse.borrow().revision();
+                tokio::select! {
+                    biased;
+                    answer = feed.watch(revision, WATCH) => answer,
+                    () = overdue(shared, revision, started) => {
+                        info!(shared.host.log, "watch: asking again, a change was not told";
+                            "what" => what, "revision" => revision);
+                        continue;
+                    }
+                }
+            }
         };
         match answer {
             Ok(batch) => {
-                regained(
-                    shared,
-                    what,
-                    follower.answered(batch.revision, shared.now()),
-                );
+                follower.answered(batch.revision);
                 let changed = !batch.items.is_empty();
                 take(batch, next == Next::List);
                 if changed && next != Next::List {
@@ -66,26 +109,46 @@
                 }
             }
             Err(error) => {
-                let lost = follower.lost_since().is_some();
-                let rest = follower.failed(&error, shared.now(), &mut shared.host.rng());
-                if !lost {
-                    warn!(shared.host.log, "watch: lost the store"; "what" => what,
-                        "why" => %error, "rest_ms" => rest.as_millis() as u64);
-                }
+                let rest = follower.failed(&error, &mut shared.host.rng());
+                warn!(shared.host.log, "watch: a call failed"; "what" => what,
+                    "why" => %error, "rest_ms" => rest.as_millis() as u64);
                 sleep(rest).await;
             }
         }
     }
 }
 
-fn regained(shared: &Shared, what: &str, lost: Option<Duration>) {
-    let Some(span) = lost else {
-        return;
-    };
-    info!(shared.host.log, "watch: the store is back"; "what" => what,
-        "lost_ms" => span.as_millis() as u64);
-    let now = shared.now();
-    lock(&shared.cell.state).extra.leafs.returned(now);
+/// Waits until the store answers pulses. Calls to one that does not would only
+/// be paid for.
+async fn store_there(shared: &Shared) {
+    // An error means that the entry ends.
+    let _ = shared
+        .pulse
+        .subscribe()
+        .wait_for(|pulse| !pulse.is_lost())
+        .await;
+}
+
+/// Waits until a watch is not to be waited for any longer: the store is lost,
+/// or has changed and the watch did not tell.
+async fn overdue(shared: &Shared, revision: u64, started: u64) {
+    let mut pulses = shared.pulse.subscribe();
+    loop {
+        let pulse = *pulses.borrow_and_update();
+        if pulse.is_lost() {
+            return;
+        }
+        let until = pulse.overdue(revision, started);
+        if until.is_some_and(|until| until <= shared.now()) {
+            return;
+        }
+        let wake = shared.host.clock.instant(until.unwrap_or(Time::MAX));
+        tokio::select! {
+            // An error means that the entry ends.
+            _ = pulses.changed() => {}
+            () = sleep_until(wake) => {}
+        }
+    }
 }
 
 fn take_book(shared: &Shared, batch: Batch<Book>) {
@@ -136,7 +199,7 @@
     moves: &mut Vec<Moved>,
 ) {
     match item.value {
-        Some((id, entry)) => leafs.changed(id, entry, now, moves),
+        Some((id, entry)) => leafs.changed(id, entry, moves),
         None => {
             if let Ok(id) = LeafId::new(&item.name) {
                 leafs.deleted(&id, now, moves);
--- /dev/null
+++ b/crates/relay/tests/regressions.rs
@@ -0,0 +1,92 @@
+//! One test for each failure found, named after it.
+
+mod world;
+
+use std::time::Duration;
+
+use chestnut_book::{Kind, Target};
+use chestnut_relay::{LeafState, Phase, Reply};
+use tokio::time::{Instant, sleep};
+use world::{Answers, Stage, ask, book, entry, name, rule};
+
+fn one(version: u64) -> chestnut_book::Book {
+    let target = Target::One(name("archive"));
+    book(version, vec![rule("/a/", Kind::Idempotent, target)])
+}
+
+/// Callers' connections break while an entry stops.
+/// The last of the entries that know each other leaves; nobody is left among
+/// those that take work, and the connections to a leaf were divided by their
+/// number. An entry that leaves still serves and counts.
+#[tokio::test(start_paused = true)]
+async fn the_last_entry_to_leave_still_serves() {
+    let stage = Stage::default();
+    stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let (a, b) = (stage.serving(1).await, stage.serving(2).await);
+    sleep(Duration::from_secs(2)).await;
+    b.leave().await;
+    a.leave().await;
+    sleep(Duration::from_secs(2)).await;
+    b.finish(Duration::ZERO).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(a.phase(), Phase::Leaving);
+    assert!(matches!(a.forward(ask("r", "/a/x")).await, Reply::Whole(_)));
+}
+
+/// A leaf that left gets calls for half a minute.
+/// The store is silent for three seconds and takes the answer of a waiting
+/// watch with it. The connection is sound afterwards, so the watch waits on for
+/// an answer that never comes, and its leaf drains unseen. The store's pulse
+/// shows the change, and the watch is started again.
+#[tokio::test(start_paused = true)]
+async fn a_watch_whose_answer_was_lost_is_started_again() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    sleep(Duration::from_secs(2)).await;
+    stage.store.answers(Answers::Never);
+    sleep(Duration::from_millis(2900)).await;
+    stage.store.answers(Answers::Yes);
+    sleep(Duration::from_secs(4)).await;
+    stage
+        .store
+        .put_leaf(&leafs[0], entry("archive", LeafState::Draining));
+    sleep(Duration::from_millis(2900)).await;
+    let late = Instant::now();
+    for n in 0..40 {
+        relay.forward(ask(&format!("r{n}"), "/a/x")).await;
+    }
+    let got = stage.leafs.got();
+    let wrong = got
+        .iter()
+        .filter(|got| got.at >= late && got.leaf == leafs[0]);
+    assert_eq!(wrong.count(), 0);
+}
+
+/// As above, but the silence falls between two pulses, so that nothing but the
+/// missing change tells of it.
+#[tokio::test(start_paused = true)]
+async fn a_watch_lost_in_a_short_silence_is_started_again() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    sleep(Duration::from_secs(2)).await;
+    stage.store.answers(Answers::Never);
+    stage.store.answers(Answers::Yes);
+    stage
+        .store
+        .put_leaf(&leafs[0], entry("archive", LeafState::Draining));
+    sleep(Duration::from_millis(2500)).await;
+    let late = Instant::now();
+    for n in 0..40 {
+        relay.forward(ask(&format!("r{n}"), "/a/x")).await;
+    }
+    let got = stage.leafs.got();
+    let wrong = got
+        .iter()
+        .filter(|got| got.at >= late && got.leaf == leafs[0]);
+    assert_eq!(wrong.count(), 0);
+}
