--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -329,7 +329,7 @@
     let stage = Stage::default();
     let leafs = stage.add_leafs("archive", 2, 220);
     let mut slow = rule("/a/", Kind::Idempotent, Target::One(name("archive")));
-    slow.goal = Duration::from_millis(800);
+    slow.goal = Duration::from_millis(600);
     slow.timeout = Duration::from_secs(8);
     stage.store.put_book(book(1, vec![slow]));
     let relay = stage.serving(1).await;
@@ -346,7 +346,7 @@
         let start = Instant::now();
         relay.forward(ask(&format!("r{n}"), "/a/x")).await;
         assert!(
-            start.elapsed() <= Duration::from_millis(800),
+            start.elapsed() <= Duration::from_millis(600),
             "{:?}",
             start.elapsed()
         );
