--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -195,7 +195,7 @@
     ) {
         let id = CallId(u32::try_from(self.calls.len()).expect("fewer than 2^32 calls"));
         let delay = cx.table.hedge_delay(self.config.class, to, cx.now);
-        let due = delay.map_or(Time::MAX, |delay| {let _ = self.hedge_by(cx.now + delay, cx); cx.now + delay});
+        let due = delay.map_or(Time::MAX, |delay| self.hedge_by(cx.now + delay, cx));
         self.look = self.look.min(due);
         for position in &shards {
             let shard = &mut self.shards[*position];
