Send callers to the strongest entries that have room

Cause: on the grown site 65 of 71 entries have 0.12 cores and links of 14 Mbit/s; a search over 36 shards costs such a one 25 ms of processor and 25 ms of link, and with callers spread over all each entry made one call in two seconds to a leaf, too few to learn from. Entries now say how many calls a second they can carry and make; callers get the addresses of the fewest strongest ones that have room for twice the load, and those share the connections to leafs and the slack of extra calls. Ruled out: draws weighted by size (a quarter of requests still meets a weak entry).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+mod carriers;
 mod confirm;
 mod entries;
 mod holder;
@@ -22,6 +23,7 @@
 mod swim;
 mod view;
 
+pub use carriers::{Candidate, carriers};
 pub use confirm::{Confirm, Confirmed};
 pub use entries::{Entry, order_entries};
 pub use holder::{HolderPlan, Ranked, holders_wanted, watchers_of};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -43,6 +43,8 @@
     pub liveness: Liveness,
     /// Whether it has said that it is leaving.
     pub leaving: bool,
+    /// Calls a second that it can carry; 0 if it did not say.
+    pub weight: u32,
     /// Who took over the tickets of its present and earlier lives.
     pub heirs: BTreeMap<Incarnation, Heir>,
 }
@@ -78,6 +80,7 @@
             beat: 0,
             liveness: Liveness::Alive,
             leaving: false,
+            weight: 0,
             heirs: BTreeMap::new(),
         }
     }
--- a/crates/port/schema/peer.capnp
+++ b/crates/port/schema/peer.capnp
@@ -13,6 +13,8 @@
   liveness @7 :Liveness;
   leaving @8 :Bool;
   heirs @9 :List(Heir);
+  # Calls a second that it can carry; 0 if it did not say.
+  weight @10 :UInt32;
 }
 
 # Who took over the tickets of one life of a member.
--- a/crates/port/src/peer_capnp.rs
+++ b/crates/port/src/peer_capnp.rs
@@ -130,11 +130,15 @@
         pub fn has_heirs(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
+        #[inline]
+        pub fn get_weight(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -312,6 +316,14 @@
         pub fn has_heirs(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
+        #[inline]
+        pub fn get_weight(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_weight(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -323,94 +335,101 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 174] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 189] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(101, 211, 247, 45, 8, 245, 162, 235),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
             ::capnp::word(114, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 112, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 100, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -498,6 +517,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 101, 105, 103, 104, 116, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -511,6 +538,7 @@
                 7 => <crate::peer_capnp::Liveness as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::heir::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -524,9 +552,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,1,9,0,5,8,7,3,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[6,2,1,9,0,5,8,7,3,4,10];
         pub(crate) const TYPE_ID: u64 = 0xeba2_f508_2df7_d365;
     }
 }
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -67,6 +67,7 @@
         Liveness::Gone => schema::Liveness::Gone,
     });
     to.set_leaving(member.leaving);
+    to.set_weight(member.weight);
     let mut heirs = to.init_heirs(member.heirs.len() as u32);
     for (at, (of, heir)) in (0u32..).zip(&member.heirs) {
         let mut item = heirs.reborrow().get(at);
@@ -94,6 +95,7 @@
             schema::Liveness::Gone => Liveness::Gone,
         },
         leaving: from.get_leaving(),
+        weight: from.get_weight(),
         heirs: from
             .get_heirs()?
             .iter()
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fmt::Display,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::Ordering},
 };
 
 use chestnut_book::Book;
@@ -13,7 +13,7 @@
 
 use crate::shared::{Ground, Shared};
 
-/// Connections to one leaf where the book says nothing of its service.
+/// Connections that a leaf takes from all entries where the book says nothing of its service.
 const CONNECTIONS: usize = 8;
 
 /// A forwarded request and what its calls brought beside answers.
@@ -35,23 +35,24 @@
     }
 
     fn call(&self, start: Start<'_>) -> Flying<LeafReply> {
-        let (place, sharers) = {
+        let (place, allotment) = {
             let state = lock(&self.shared.cell.state);
             let place = state.extra.places.get(&start.to).cloned();
-            (place, state.extra.sharers())
+            (place, state.extra.allotment)
         };
+        self.shared.calls.fetch_add(1, Ordering::Relaxed);
         self.shared.metrics.count_call(start.kind);
         let Some(place) = place else {
             return async { Err(Failure::NotSent) }.boxed();
         };
         let rule = self.book.service(&place.service);
-        let shared_out = rule.map_or(CONNECTIONS, |rule| rule.connections / sharers);
+        let most = rule.map_or(CONNECTIONS, |rule| rule.connections);
         let call = LeafCall {
             leaf: place.leaf,
             address: place.address,
             message: self.message.clone(),
             left: start.left,
-            connections: shared_out.max(1),
+            connections: allotment.connections(most),
         };
         let reply = self.shared.forward.call(call);
         let (failed, shards) = (self.failed.clone(), start.shards);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! replies.
 #![warn(clippy::unwrap_used)]
 
+mod allot;
 mod calls;
 mod follow;
 mod forward;
@@ -22,6 +23,7 @@
 mod shared;
 mod watch;
 
+pub use allot::{Allotment, Part, Rate};
 pub use follow::{Follower, Next};
 pub use forward::{Ask, Declined, Reply, Why};
 pub use leafs::{LeafEntry, LeafState, Leafs, Moved};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -1,19 +1,28 @@
 //! The other entries: found by their adverts, judged by probes.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
 
-use chestnut_fleet::{Addresses, Change, Liveness, Member, Probe, Send, Status, Swim, SwimConfig};
+use chestnut_fleet::{
+    Addresses, Candidate, Change, Liveness, Member, Probe, Send, Status, Swim, SwimConfig, carriers,
+};
 use chestnut_flow::lock;
 use chestnut_port::{FeedError, Freshness, Probes};
 use chestnut_unit::{DomainName, Incarnation, MemberId, Time};
 use futures::future::BoxFuture;
 use rand::Rng;
 use slog::{info, warn};
-use std::sync::Mutex;
 use tokio::time::{sleep, sleep_until};
 
 use crate::{
-    RelaySettings,
+    Allotment, Part, Rate, RelaySettings,
     shared::{Phase, Shared},
 };
 
@@ -52,49 +61,52 @@
 /// The members that an entry knows.
 pub(crate) struct Members {
     swim: Mutex<Swim>,
+    rate: Mutex<Rate>,
+    /// Calls to leafs a second, as last told.
+    load: AtomicU32,
     probes: Arc<dyn Probes>,
 }
 
 impl Members {
     pub(crate) fn new(shared: &Shared, probes: Arc<dyn Probes>) -> Self {
         let settings = &shared.settings;
-        let own = Member::starting(
+        let mut own = Member::starting(
             settings.entry.member.clone(),
             settings.entry.domain.clone(),
             addresses(settings),
             Incarnation(shared.host.clock.wall().0),
         );
+        own.weight = settings.entry.weight();
         let swim = Swim::new(SwimConfig::default(), own, shared.now());
         Self {
             swim: Mutex::new(swim),
+            rate: Mutex::new(Rate::default()),
+            load: AtomicU32::new(0),
             probes,
         }
     }
 
-    /// Where callers of a failure domain should connect.
+    /// Where callers should connect, at most `most` addresses.
     pub(crate) fn addresses(&self, shared: &Shared, most: usize) -> Vec<SocketAddr> {
         let swim = lock(&self.swim);
-        let serves = |member: &&Member| {
-            // A member that is only known by its advert may not have started.
-            member.takes_work() && member.incarnation > Incarnation(0)
-        };
         let own = &shared.settings.entry.member;
         let own_serves = shared.phase() == Phase::Serving;
         let known: Vec<&Member> = swim
             .view
             .working()
-            .filter(serves)
+            .filter(is_started)
             .filter(|member| member.id != *own || own_serves)
             .collect();
         let alive = |member: &&&Member| member.liveness == Liveness::Alive;
         let others = known.iter().filter(alive).any(|member| member.id != *own);
         // When every other entry looks silent it is more likely this one that
         // is cut off, and callers may still reach the others.
-        let mut list: Vec<SocketAddr> = known
+        let listed = known
             .iter()
             .filter(|member| !others || member.liveness == Liveness::Alive)
-            .map(|member| member.addresses.callers)
-            .collect();
+            .map(|member| self.candidate(&swim, member, member.addresses.callers))
+            .collect::<Vec<_>>();
+        let mut list = carriers(&listed);
         let mut rng = shared.host.rng();
         while list.len() > most {
             let at = (rng.next_u64() % list.len() as u64) as usize;
@@ -103,6 +115,39 @@
         list
     }
 
+    /// What this entry may use, beside the entries that serve. One that is
+    /// leaving still serves and counts.
+    fn allotment(&self) -> Allotment {
+        let swim = lock(&self.swim);
+        let own = swim.view.own().id.clone();
+        let present: Vec<&Member> = swim.view.present().collect();
+        let list: Vec<Candidate<&MemberId>> = present
+            .iter()
+            .map(|member| self.candidate(&swim, member, &member.id))
+            .collect();
+        let carriers = carriers(&list);
+        Allotment {
+            carriers: carriers.len().max(1),
+            others: list.len() - carriers.len(),
+            part: match carriers.contains(&&own) {
+                true => Part::Carrier,
+                false => Part::Other,
+            },
+        }
+    }
+
+    fn candidate<T>(&self, swim: &Swim, member: &Member, id: T) -> Candidate<T> {
+        let load = match member.id == swim.view.own().id {
+            true => self.load.load(Ordering::Relaxed),
+            false => swim.load(&member.id),
+        };
+        Candidate {
+            id,
+            weight: member.weight,
+            load,
+        }
+    }
+
     fn count(&self) -> usize {
         lock(&self.swim).view.present().count()
     }
@@ -122,6 +167,11 @@
     }
 }
 
+/// A member that is only known by its advert may not have started.
+fn is_started(member: &&Member) -> bool {
+    member.incarnation > Incarnation(0)
+}
+
 fn addresses(settings: &RelaySettings) -> Addresses {
     Addresses {
         callers: settings.listen.callers,
@@ -233,7 +283,8 @@
             () = sleep_until(wake) => {
                 let now = shared.now();
                 let mut rng = shared.host.rng();
-                lock(&members.swim).tick(status(&shared), now, &mut rng, &mut out);
+                lock(&members.swim).tick(status(&shared, &members), now, &mut rng, &mut out);
+                share(&shared, &members);
             }
         }
         send_all(&members, out).await;
@@ -249,12 +300,12 @@
 
 /// Tells the members that this entry ends now.
 pub(crate) async fn farewell(shared: &Shared, members: &Members) {
-    let out = lock(&members.swim).stop(status(shared), TOLD);
+    let out = lock(&members.swim).stop(status(shared, members), TOLD);
     send_all(members, out).await;
 }
 
 async fn announce(shared: &Shared, members: &Members) {
-    let out = lock(&members.swim).announce(status(shared), TOLD);
+    let out = lock(&members.swim).announce(status(shared, members), TOLD);
     send_all(members, out).await;
 }
 
@@ -266,11 +317,14 @@
     out: &mut Vec<Send>,
 ) {
     let now: Time = shared.now();
-    lock(&members.swim).receive(probe, from, status(shared), now, out);
+    lock(&members.swim).receive(probe, from, status(shared, members), now, out);
 }
 
-fn status(shared: &Shared) -> Status {
-    let load = shared.in_flight.load(std::sync::atomic::Ordering::Relaxed);
+/// What this entry says of itself: its load in calls to leafs a second.
+fn status(shared: &Shared, members: &Members) -> Status {
+    let calls = shared.calls.load(Ordering::Relaxed);
+    let load = lock(&members.rate).take(calls, shared.now());
+    members.load.store(load, Ordering::Relaxed);
     Status {
         load,
         ..Status::default()
@@ -305,7 +359,6 @@
 /// Divides what all entries may use together among those that are there. One
 /// that is leaving still serves and counts.
 fn share(shared: &Shared, members: &Members) {
-    let count = members.count();
-    shared.metrics.members.set(count as i64);
-    shared.share_with(count);
+    shared.metrics.members.set(members.count() as i64);
+    shared.allot(members.allotment());
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -37,6 +37,26 @@
     pub member: MemberId,
     /// Its failure domain.
     pub domain: DomainName,
+    /// Processor cores that it may use.
+    pub cores: f64,
+    /// Its link, in megabits a second.
+    pub link: f64,
+}
+
+/// Processor time that the daemon spends on a leaf call, everything counted:
+/// 83 us in a calm day of the smallest deployment.
+const CALL_CORE: f64 = 85e-6;
+/// Megabits of a leaf call: a part of 1,000 bytes with its heads, both ways.
+const CALL_MEGABITS: f64 = 11.2e-3;
+
+impl RelayEntry {
+    /// Calls a second that the entry can carry: it works on one for as long as
+    /// its processor and then its link take.
+    #[must_use]
+    pub fn weight(&self) -> u32 {
+        let span = CALL_CORE / self.cores + CALL_MEGABITS / self.link;
+        (1.0 / span) as u32
+    }
 }
 
 /// Where an entry listens.
@@ -152,6 +172,10 @@
                 mend,
             })
         };
+        if self.entry.cores <= 0.0 || self.entry.link <= 0.0 {
+            let problem = "an entry without processor or link serves nobody".to_owned();
+            return fail("entry", problem, "Write cores and link above 0.");
+        }
         if !(0.0..=1.0).contains(&self.extra.part) {
             let problem = format!("{} is out of range", self.extra.part);
             return fail("extra.part", problem, "Write a number from 0 to 1.");
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -17,9 +17,11 @@
     Routes, Table, TableConfig,
 };
 use chestnut_unit::{IndexVersion, LeafId, RequestId, ServiceName, ShardName, Snapshot, Time};
+use slog::info;
 use tokio::sync::watch;
 
 use crate::{
+    allot::Allotment,
     leafs::{LeafEntry, LeafState, Leafs, Moved},
     metrics::Metrics,
     pulse::Pulse,
@@ -62,15 +64,7 @@
     purses: BTreeMap<ServiceName, PurseId>,
     gates: BTreeMap<Vec<ServiceName>, GateId>,
     routes: BTreeMap<Vec<ServiceName>, Arc<Routes>>,
-    /// Entries that share the budgets.
-    sharers: usize,
-}
-
-impl Ground {
-    /// Entries that share the budgets and the leafs' connections.
-    pub(crate) fn sharers(&self) -> usize {
-        self.sharers
-    }
+    pub(crate) allotment: Allotment,
 }
 
 pub(crate) type State = chestnut_flow::State<Ground>;
@@ -84,11 +78,6 @@
 /// Requests that wait for one of those.
 const WAITING_MAX: usize = 64;
 
-/// Entries that share budgets and connections while the others are not known
-/// yet. Too many only leaves some unused for the first moments; too few would
-/// let a group that starts together go beyond its bounds.
-const SHARERS_UNKNOWN: usize = 16;
-
 /// What the tasks of one entry share.
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
@@ -99,6 +88,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pulse: watch::Sender<Pulse>,
     pub(crate) in_flight: AtomicU32,
+    /// Calls to leafs so far.
+    pub(crate) calls: AtomicU64,
     requests: AtomicU64,
 }
 
@@ -132,7 +123,7 @@
             purses: BTreeMap::new(),
             gates: BTreeMap::new(),
             routes: BTreeMap::new(),
-            sharers: SHARERS_UNKNOWN,
+            allotment: Allotment::unknown(),
         };
         let name = ServiceName::new("relay").expect("a legal name");
         let cell = Cell::new(name, Table::new(config), gate(), ground);
@@ -145,6 +136,7 @@
             phase: watch::Sender::new(Phase::Starting),
             pulse: watch::Sender::new(Pulse::default()),
             in_flight: AtomicU32::new(0),
+            calls: AtomicU64::new(0),
             requests: AtomicU64::new(1),
         }
     }
@@ -172,31 +164,25 @@
         true
     }
 
-    /// Sets how many entries share the budgets.
-    pub(crate) fn share_with(&self, entries: usize) {
-        // This entry may already have said that it ends.
-        let entries = entries.max(1);
+    /// Sets what this entry may use of what all share.
+    pub(crate) fn allot(&self, allotment: Allotment) {
         let mut state = lock(&self.cell.state);
         let state = &mut *state;
-        if state.extra.sharers == entries {
+        if state.extra.allotment == allotment {
             return;
         }
-        state.extra.sharers = entries;
-        let burst = burst(&self.settings, entries);
+        state.extra.allotment = allotment;
+        let slack = allotment.slack(&self.settings.extra);
         for id in state.extra.purses.values() {
             if let Purse::Joint(budget) = state.table.purse(*id) {
-                budget.set_burst(burst);
+                budget.set_burst(slack);
             }
         }
+        info!(self.host.log, "fleet: {} carriers, {} others", allotment.carriers, allotment.others;
+            "this" => format!("{:?}", allotment.part));
     }
 }
 
-/// Calls that one of `entries` may save up, so that all together stay within
-/// the slack.
-fn burst(settings: &RelaySettings, entries: usize) -> f64 {
-    settings.extra.slack / entries as f64
-}
-
 fn gate() -> Admission {
     Admission::new(AdmitConfig {
         initial: RUNNING_MAX,
@@ -351,7 +337,7 @@
         return *id;
     }
     let mut budget = Budget::empty(own.extra.share(), 1);
-    budget.set_burst(burst(own, state.extra.sharers));
+    budget.set_burst(state.extra.allotment.slack(&own.extra));
     let id = state.table.add_purse(Purse::Joint(budget));
     state.extra.purses.insert(service.clone(), id);
     id
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -337,7 +337,9 @@
         // One call in ten takes long, so that lateness is judged with slack.
         let span = Duration::from_millis(if n % 10 == 0 { 600 } else { 220 });
         for leaf in &leafs {
-            stage.leafs.set(leaf, Manner::Answers(span, record("archive")));
+            stage
+                .leafs
+                .set(leaf, Manner::Answers(span, record("archive")));
         }
         relay.forward(ask(&format!("warm{n}"), "/a/x")).await;
     }
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -463,7 +463,7 @@
     /// Starts entry number `n`. The settings are those of a small deployment.
     pub fn spawn(&self, n: u16) -> Relay {
         let text = format!(
-            "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\n\
+            "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\ncores = 0.25\nlink = 1000\n\
              [listen]\ncallers = \"10.0.0.{n}:1\"\nreadiness = \"10.0.0.{n}:2\"\n\
              directory = \"10.0.0.{n}:3\"\npeers = \"10.0.0.{n}:4\"\nmetrics = \"10.0.0.{n}:5\"\n\
              [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\n\
