--- a/crates/book/src/book.rs
+++ b/crates/book/src/book.rs
@@ -4,11 +4,13 @@
 
 use chestnut_unit::ServiceName;
 use displaydoc::Display;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 use crate::{CallerLimits, Rule, ServiceRule, Target};
 
 /// Version of a book. Operators raise it with every edit.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
 pub struct BookVersion(pub u64);
 
 impl fmt::Display for BookVersion {
@@ -130,6 +132,35 @@
     }
 }
 
+/// A book as entries pass it on: a list of rules, checked again when it is read.
+#[derive(Serialize, Deserialize)]
+struct Plain<R> {
+    version: BookVersion,
+    limits: CallerLimits,
+    rules: Vec<R>,
+    services: BTreeMap<ServiceName, ServiceRule>,
+}
+
+impl Serialize for Book {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        let plain = Plain {
+            version: self.version,
+            limits: self.limits,
+            rules: self.rules().map(AsRef::<Rule>::as_ref).collect(),
+            services: self.services.clone(),
+        };
+        plain.serialize(to)
+    }
+}
+
+impl<'de> Deserialize<'de> for Book {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let plain = Plain::<Rule>::deserialize(from)?;
+        Self::build(plain.version, plain.rules, plain.services, plain.limits)
+            .map_err(serde::de::Error::custom)
+    }
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
--- a/crates/book/src/rule.rs
+++ b/crates/book/src/rule.rs
@@ -3,10 +3,11 @@
 use std::time::Duration;
 
 use chestnut_unit::{ServiceName, Share};
+use serde::{Deserialize, Serialize};
 
 /// Whether a request may be sent to a second back end after one that may have
 /// run it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// Running it twice changes nothing.
     Idempotent,
@@ -15,7 +16,7 @@
 }
 
 /// Where requests of a rule go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Target {
     /// To one service.
     One(ServiceName),
@@ -48,7 +49,7 @@
 }
 
 /// What becomes of requests to one host and path prefix.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rule {
     /// Its name, for logs.
     pub name: String,
@@ -71,14 +72,14 @@
 }
 
 /// What the book says of a service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceRule {
     /// Connections that one back end of it accepts from all entries together.
     pub connections: usize,
 }
 
 /// Bounds on what callers may send.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Largest head of a request, in bytes.
     pub head: usize,
--- a/crates/book/tests/book.rs
+++ b/crates/book/tests/book.rs
@@ -78,3 +78,32 @@
     let error = book(vec![rule("one", "/a/"), rule("two", "/a/")]).unwrap_err();
     assert!(matches!(error, BookError::Twice(..)), "{error}");
 }
+
+/// Entries pass books on to each other: what arrives is what was sent.
+#[test]
+fn a_book_is_passed_on_whole() {
+    let gather = Target::Gather {
+        shards: vec![service("s1"), service("s2")],
+        least: Share::from_permille(890),
+        top: 50,
+    };
+    let split = Target::Split(vec![(service("old"), 70), (service("new"), 30)]);
+    let rules = vec![
+        rule("one", "/a/"),
+        Rule {
+            target: gather,
+            ..rule("two", "/b/")
+        },
+        Rule {
+            target: split,
+            kind: Kind::Once,
+            ..rule("three", "/c/")
+        },
+    ];
+    let sent = book(rules).unwrap();
+    let json = serde_json::to_string(&sent).unwrap();
+    let read: Book = serde_json::from_str(&json).unwrap();
+    assert_eq!(read.version, sent.version);
+    assert!(read.rules().eq(sent.rules()));
+    assert_eq!(read.limits, sent.limits);
+}
--- a/crates/fleet/src/swim/mod.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -215,6 +215,13 @@
         targets.into_iter().map(farewell).collect()
     }
 
+    /// A message to an address whose member is not known: its answer tells.
+    #[must_use]
+    pub fn knock(&self, to: SocketAddr, status: Status) -> Send {
+        let probe = self.plain(ProbeKind::Ping, 0, status);
+        Send { to, probe }
+    }
+
     /// When [`Swim::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
--- /dev/null
+++ b/crates/port/schema/feed.capnp
@@ -0,0 +1,33 @@
+@0xb7a1c4de52f09831;
+# The protocol by which entries that watch the store pass on what they hear.
+
+struct Item {
+  name @0 :Text;
+  deleted @1 :Bool;
+  value @2 :Data;  # JSON; empty if deleted
+}
+
+struct Batch {
+  # Point in the store's history up to which this tells all.
+  revision @0 :UInt64;
+  items @1 :List(Item);
+}
+
+struct Reply {
+  union {
+    batch @0 :Batch;
+    # The callee doesn't remember that far back: read everything.
+    historyGone @1 :Void;
+    # The callee has lost the store, or has heard nothing yet.
+    lost @2 :Void;
+  }
+}
+
+interface Feeds {
+  # The store's revision, as the callee heard it last.
+  pulse @0 () -> (reply :Reply);
+  # Every object of a feed.
+  all @1 (feed :Text) -> (reply :Reply);
+  # Waits for objects to change after a revision.
+  follow @2 (feed :Text, after :UInt64, waitMs :UInt32) -> (reply :Reply);
+}
--- /dev/null
+++ b/crates/port/src/feed_rpc.rs
@@ -0,0 +1,251 @@
+//! Feeds of objects between entries: Cap'n Proto calls over TCP.
+
+use std::{marker::PhantomData, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use capnp::Error;
+use futures::{FutureExt, future::BoxFuture};
+use serde::de::DeserializeOwned;
+use tokio::runtime::Handle;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::{
+    Batch, Feed, FeedError, Freshness, Item, PeerError,
+    feed_capnp::{feeds, reply},
+    rpc::RpcNet,
+};
+
+/// Longest wait for a call that does not wait for changes. Peers answer within
+/// milliseconds; a hung one must be given up well before changes are due.
+const WAIT: Duration = Duration::from_millis(400);
+/// Time beyond a watch's own wait in which its answer must come.
+const WATCH_SLACK: Duration = Duration::from_secs(1);
+
+/// Objects as they travel between entries: JSON.
+pub type RawBatch = Batch<Bytes>;
+
+/// What an entry passes on to others.
+pub trait FeedService: Send + Sync + 'static {
+    /// The store's revision, as heard last; an error while it is lost.
+    fn pulse(&self) -> Result<u64, FeedError>;
+
+    /// Every object of a feed.
+    fn all(&self, feed: &str) -> Result<RawBatch, FeedError>;
+
+    /// Waits for objects of a feed to change after `revision`.
+    fn follow(
+        &self,
+        feed: String,
+        revision: u64,
+        wait: Duration,
+    ) -> BoxFuture<'static, Result<RawBatch, FeedError>>;
+}
+
+/// The feeds of an entry, served and called. Dropping it ends its thread.
+#[derive(Clone, Debug)]
+pub struct FeedNet {
+    net: RpcNet<feeds::Client>,
+}
+
+impl FeedNet {
+    /// Binds `address` and passes on what `service` has.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be bound.
+    pub async fn bind(address: SocketAddr, service: Arc<dyn FeedService>) -> std::io::Result<Self> {
+        let runtime = Handle::current();
+        let serve = move || {
+            let session = Session {
+                service: service.clone(),
+                runtime: runtime.clone(),
+            };
+            let client: feeds::Client = capnp_rpc::new_client(session);
+            client.client
+        };
+        Ok(Self {
+            net: RpcNet::bind(address, Arc::new(serve))?,
+        })
+    }
+
+    /// Where peers connect.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.net.address()
+    }
+
+    /// The feed `name` of the entry at `to`.
+    #[must_use]
+    pub fn feed<T>(&self, to: SocketAddr, name: &'static str) -> PeerFeed<T> {
+        PeerFeed {
+            net: self.net.clone(),
+            to,
+            name,
+            value: PhantomData,
+        }
+    }
+}
+
+/// A feed that another entry passes on.
+pub struct PeerFeed<T> {
+    net: RpcNet<feeds::Client>,
+    to: SocketAddr,
+    name: &'static str,
+    value: PhantomData<fn() -> T>,
+}
+
+fn unavailable(error: PeerError) -> FeedError {
+    FeedError::Unavailable(error.to_string())
+}
+
+impl<T: DeserializeOwned + Send + Sync> Feed<T> for PeerFeed<T> {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        async move {
+            let name = self.name;
+            let call = move |client: feeds::Client| async move {
+                let mut request = client.all_request();
+                request.get().set_feed(name);
+                let answer = request.send().promise.await?;
+                read_reply(answer.get()?.get_reply()?)
+            };
+            let reply = self.net.run(self.to, WAIT, call).await;
+            parse(reply.map_err(unavailable)??)
+        }
+        .boxed()
+    }
+
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
+        async move {
+            let call = |client: feeds::Client| async move {
+                let answer = client.pulse_request().send().promise.await?;
+                read_reply(answer.get()?.get_reply()?)
+            };
+            let reply = self.net.run(self.to, WAIT, call).await;
+            Ok(reply.map_err(unavailable)??.revision)
+        }
+        .boxed()
+    }
+
+    fn watch(&self, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        async move {
+            let name = self.name;
+            let call = move |client: feeds::Client| async move {
+                let mut request = client.follow_request();
+                let mut params = request.get();
+                params.set_feed(name);
+                params.set_after(revision);
+                params.set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
+                let answer = request.send().promise.await?;
+                read_reply(answer.get()?.get_reply()?)
+            };
+            let reply = self.net.run(self.to, wait + WATCH_SLACK, call).await;
+            parse(reply.map_err(unavailable)??)
+        }
+        .boxed()
+    }
+}
+
+type Reply = Result<RawBatch, FeedError>;
+
+fn read_reply(from: reply::Reader<'_>) -> Result<Reply, Error> {
+    let batch = match from.which()? {
+        reply::Which::Batch(batch) => batch?,
+        reply::Which::HistoryGone(()) => return Ok(Err(FeedError::HistoryGone)),
+        reply::Which::Lost(()) => {
+            let why = "the peer has lost the store".to_owned();
+            return Ok(Err(FeedError::Unavailable(why)));
+        }
+    };
+    let items = batch.get_items()?.iter().map(|item| {
+        let value = Bytes::copy_from_slice(item.get_value()?);
+        Ok(Item {
+            name: item.get_name()?.to_string()?,
+            value: (!item.get_deleted()).then_some(value),
+        })
+    });
+    Ok(Ok(Batch {
+        items: items.collect::<Result<_, Error>>()?,
+        revision: batch.get_revision(),
+    }))
+}
+
+fn parse<T: DeserializeOwned>(raw: RawBatch) -> Result<Batch<T>, FeedError> {
+    let items = raw.items.into_iter().map(|item| {
+        let value = item.value.map(|json| serde_json::from_slice(&json));
+        Ok(Item {
+            name: item.name,
+            value: value.transpose()?,
+        })
+    });
+    Ok(Batch {
+        items: items
+            .collect::<Result<_, serde_json::Error>>()
+            .map_err(|error| FeedError::Refused(error.to_string()))?,
+        revision: raw.revision,
+    })
+}
+
+/// Serves one peer's calls by passing them to the entry's own runtime.
+struct Session {
+    service: Arc<dyn FeedService>,
+    runtime: Handle,
+}
+
+fn put_reply(reply: &Reply, mut to: reply::Builder<'_>) {
+    let batch = match reply {
+        Ok(batch) => batch,
+        Err(FeedError::HistoryGone) => return to.set_history_gone(()),
+        Err(_) => return to.set_lost(()),
+    };
+    let mut out = to.init_batch();
+    out.set_revision(batch.revision);
+    let mut items = out.init_items(batch.items.len() as u32);
+    for (at, item) in (0u32..).zip(&batch.items) {
+        let mut out = items.reborrow().get(at);
+        out.set_name(item.name.as_str());
+        out.set_deleted(item.value.is_none());
+        out.set_value(item.value.as_deref().unwrap_or_default());
+    }
+}
+
+impl feeds::Server for Session {
+    async fn pulse(
+        self: Rc<Self>,
+        _: feeds::PulseParams,
+        mut results: feeds::PulseResults,
+    ) -> Result<(), Error> {
+        let revision = self.service.pulse();
+        let items = Vec::new();
+        let reply = revision.map(|revision| Batch { items, revision });
+        put_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn all(
+        self: Rc<Self>,
+        params: feeds::AllParams,
+        mut results: feeds::AllResults,
+    ) -> Result<(), Error> {
+        let reply = self.service.all(params.get()?.get_feed()?.to_str()?);
+        put_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn follow(
+        self: Rc<Self>,
+        params: feeds::FollowParams,
+        mut results: feeds::FollowResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let feed = params.get_feed()?.to_string()?;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms()));
+        let follow = self.service.follow(feed, params.get_after(), wait);
+        // A caller that cancels drops this future, and with it the task.
+        let task = AbortOnDropHandle::new(self.runtime.spawn(follow));
+        let reply = task
+            .await
+            .map_err(|error| Error::failed(error.to_string()))?;
+        put_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+}
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -14,6 +14,13 @@
 mod clock;
 mod exchange;
 mod feed;
+#[expect(
+    clippy::unwrap_used,
+    reason = "generated from schema/feed.capnp"
+)]
+#[rustfmt::skip]
+mod feed_capnp;
+mod feed_rpc;
 mod forward;
 mod http;
 mod json;
@@ -29,6 +36,7 @@
 mod platform;
 mod platform_http;
 mod probe;
+mod rpc;
 mod serve;
 mod sockets;
 mod target;
@@ -38,6 +46,7 @@
 pub use clock::Clock;
 pub use exchange::{Exchange, ExchangeConfig, ExchangeError, Exchanges};
 pub use feed::{Batch, Feed, FeedError, Freshness, Item};
+pub use feed_rpc::{FeedNet, FeedService, PeerFeed, RawBatch};
 pub use forward::{Forward, LeafCall, LeafFailure, LeafReply, Message};
 pub use http::{HttpClient, HttpError, HttpReply};
 pub use json::LeafAnswer;
--- /dev/null
+++ b/crates/port/src/rpc.rs
@@ -0,0 +1,249 @@
+//! Cap'n Proto calls between entries over TCP, for any interface.
+//!
+//! The library's objects stay on one thread, so a net has a thread of its own
+//! with a local task set. Calls reach it through a bounded channel and answers
+//! come back through one-shot channels; `docs/design/peers.md` has the measured
+//! cost of that hop.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    future::Future,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use capnp::capability::FromClientHook;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::FutureExt;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{mpsc, oneshot},
+    task::{LocalSet, spawn_local},
+    time::{Instant, timeout},
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::{PeerError, wire};
+
+/// Calls that wait for the thread; past it a call is not sent.
+const QUEUE: usize = 1024;
+/// Longest wait for a connection.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Time without any answer after which a connection on which a call timed out
+/// is dropped: it may be silent for good, and a new one may work.
+const SILENT_MAX: Duration = Duration::from_secs(1);
+
+/// The client side of an interface.
+pub(crate) trait Client: FromClientHook + Clone + 'static {}
+
+impl<C: FromClientHook + Clone + 'static> Client for C {}
+
+type Job<C> = Box<dyn FnOnce(Rc<Local<C>>) + Send>;
+
+/// Makes the object that serves one connection.
+pub(crate) type Serve = Arc<dyn Fn() -> capnp::capability::Client + Send + Sync>;
+
+/// One interface, served at an address and called at others. Dropping the last
+/// clone ends its thread.
+pub(crate) struct RpcNet<C> {
+    jobs: mpsc::Sender<Job<C>>,
+    address: SocketAddr,
+}
+
+impl<C> Clone for RpcNet<C> {
+    fn clone(&self) -> Self {
+        Self {
+            jobs: self.jobs.clone(),
+            address: self.address,
+        }
+    }
+}
+
+impl<C> std::fmt::Debug for RpcNet<C> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("RpcNet")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<C: Client> RpcNet<C> {
+    /// Binds `address` and serves each connection by an object of `serve`.
+    pub(crate) fn bind(address: SocketAddr, serve: Serve) -> std::io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let (jobs, queue) = mpsc::channel(QUEUE);
+        std::thread::Builder::new()
+            .name("peers".to_owned())
+            .spawn(move || run(listener, serve, queue))?;
+        Ok(Self { jobs, address })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Runs `call` on the thread, and gives up on it after `wait`.
+    pub(crate) async fn run<T, K, F>(
+        &self,
+        to: SocketAddr,
+        wait: Duration,
+        call: K,
+    ) -> Result<T, PeerError>
+    where
+        T: Send + 'static,
+        K: FnOnce(C) -> F + Send + 'static,
+        F: Future<Output = Result<T, capnp::Error>> + 'static,
+    {
+        let (answer, answered) = oneshot::channel();
+        let job: Job<C> = Box::new(move |local| {
+            spawn_local(async move {
+                let mut answer = answer;
+                tokio::select! {
+                    result = one_call(&local, to, wait, call) => {
+                        // A caller that has gone away needs no answer.
+                        let _ = answer.send(result);
+                    }
+                    () = answer.closed() => {}
+                }
+            });
+        });
+        self.jobs.try_send(job).map_err(|_| PeerError::NotSent)?;
+        answered.await.unwrap_or(Err(PeerError::Lost))
+    }
+}
+
+/// A connection to one peer.
+struct Line<C> {
+    client: C,
+    heard: Cell<Instant>,
+    open: Cell<bool>,
+}
+
+/// What lives on the thread.
+struct Local<C> {
+    lines: RefCell<BTreeMap<SocketAddr, Rc<Line<C>>>>,
+}
+
+fn run<C: Client>(
+    listener: std::net::TcpListener,
+    serve: Serve,
+    mut queue: mpsc::Receiver<Job<C>>,
+) {
+    let local_runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime on one thread can be built");
+    LocalSet::new().block_on(&local_runtime, async move {
+        let listener = TcpListener::from_std(listener).expect("the socket is non-blocking");
+        let accept = spawn_local(accept(listener, serve));
+        let local = Rc::new(Local {
+            lines: RefCell::default(),
+        });
+        while let Some(job) = queue.recv().await {
+            job(local.clone());
+        }
+        accept.abort();
+    });
+}
+
+async fn accept(listener: TcpListener, serve: Serve) {
+    /// Rest after a failed accept, which is mostly a lack of descriptors.
+    const REST: Duration = Duration::from_millis(50);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(REST).await;
+            continue;
+        };
+        let network = network(stream, Side::Server);
+        let system = RpcSystem::new(network, Some(serve()));
+        // A broken message ends this connection and nothing else.
+        spawn_local(system.map(drop));
+    }
+}
+
+fn network(stream: TcpStream, side: Side) -> Box<twoparty::VatNetwork<impl futures::AsyncRead>> {
+    // Without it each small message waits for the one before to be confirmed.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    Box::new(twoparty::VatNetwork::new(
+        reader.compat(),
+        writer.compat_write(),
+        side,
+        wire::reader_options(),
+    ))
+}
+
+async fn one_call<T, C, K, F>(
+    local: &Rc<Local<C>>,
+    to: SocketAddr,
+    wait: Duration,
+    call: K,
+) -> Result<T, PeerError>
+where
+    C: Client,
+    K: FnOnce(C) -> F,
+    F: Future<Output = Result<T, capnp::Error>>,
+{
+    let line = line_to(local, to, wait).await?;
+    match timeout(wait, call(line.client.clone())).await {
+        Ok(Ok(answer)) => {
+            line.heard.set(Instant::now());
+            Ok(answer)
+        }
+        Ok(Err(error)) => {
+            if error.kind == capnp::ErrorKind::Disconnected {
+                drop_line(local, to, &line);
+            }
+            Err(PeerError::Lost)
+        }
+        Err(_) => {
+            if line.heard.get().elapsed() > SILENT_MAX {
+                drop_line(local, to, &line);
+            }
+            Err(PeerError::Lost)
+        }
+    }
+}
+
+async fn line_to<C: Client>(
+    local: &Rc<Local<C>>,
+    to: SocketAddr,
+    wait: Duration,
+) -> Result<Rc<Line<C>>, PeerError> {
+    if let Some(line) = local.lines.borrow().get(&to)
+        && line.open.get()
+    {
+        return Ok(line.clone());
+    }
+    let stream = timeout(CONNECT.min(wait), TcpStream::connect(to))
+        .await
+        .map_err(|_| PeerError::NotSent)?
+        .map_err(|_| PeerError::NotSent)?;
+    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let line = Rc::new(Line {
+        client: system.bootstrap(Side::Server),
+        heard: Cell::new(Instant::now()),
+        open: Cell::new(true),
+    });
+    let (watched, keeper) = (line.clone(), local.clone());
+    spawn_local(async move {
+        let _ = system.await;
+        drop_line(&keeper, to, &watched);
+    });
+    local.lines.borrow_mut().insert(to, line.clone());
+    Ok(line)
+}
+
+/// Forgets a connection, unless a newer one has taken its place.
+fn drop_line<C>(local: &Rc<Local<C>>, to: SocketAddr, line: &Rc<Line<C>>) {
+    line.open.set(false);
+    let mut lines = local.lines.borrow_mut();
+    if lines.get(&to).is_some_and(|now| Rc::ptr_eq(now, line)) {
+        lines.remove(&to);
+    }
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Follower {
     revision: Option<u64>,
+    /// The greatest revision that was heard.
+    known: u64,
     failures: u32,
 }
 
@@ -39,11 +41,17 @@
         self.revision.map_or(Next::List, Next::Watch)
     }
 
+    /// Whether an answer that goes up to `revision` is older than what is
+    /// known. Taken as a whole list it would bring back what has gone since.
+    #[must_use]
+    pub fn is_old(&self, revision: u64) -> bool {
+        revision < self.known
+    }
+
     /// Takes an answer that goes up to `revision`.
     pub fn answered(&mut self, revision: u64) {
-        // An answer from a stale copy must not take the watch back: it would
-        // bring the same changes again.
-        self.revision = Some(self.revision.unwrap_or(0).max(revision));
+        self.revision = Some(revision);
+        self.known = self.known.max(revision);
         self.failures = 0;
     }
 
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -3,9 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use chestnut_unit::{DomainName, LeafId, ServiceName, Time};
+use serde::{Deserialize, Serialize};
 
 /// What a leaf says of itself.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LeafState {
     /// It takes work.
     Ready,
@@ -14,7 +15,7 @@
 }
 
 /// The entry of one life of a leaf.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeafEntry {
     /// The service that it runs.
     pub service: ServiceName,
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -22,7 +22,7 @@
 use tokio::time::{sleep, sleep_until};
 
 use crate::{
-    Allotment, Part, Rate, RelaySettings,
+    Allotment, Part, Rate, RelaySettings, Upstream,
     shared::{Phase, Shared},
 };
 
@@ -49,7 +49,9 @@
     fn remove(&self, member: MemberId) -> BoxFuture<'_, Result<(), FeedError>>;
 }
 
-/// Rest after a failed call for adverts.
+/// Wait for the answers of the seeds.
+const ANSWER: Duration = Duration::from_millis(100);
+/// Rest while this entry knows nobody, or its advert is not written.
 const REST: Duration = Duration::from_millis(700);
 /// Time between two readings of all adverts. Probes spread the news of members;
 /// the adverts only join groups that lost each other, so a stale copy, which
@@ -152,6 +154,28 @@
         lock(&self.swim).view.present().count()
     }
 
+    /// From whom this entry hears of changes now.
+    pub(crate) fn upstream(&self, shared: &Shared) -> Upstream {
+        let now = shared.now();
+        let swim = lock(&self.swim);
+        let (own, seeds) = (swim.view.own(), &shared.settings.seeds);
+        let age = now.since(Time::ZERO);
+        let others = swim.view.others().filter(is_started);
+        lock(&shared.upstreams).choose(own, others, seeds, age, now)
+    }
+
+    /// Asks the seeds who they are.
+    async fn knock(&self, shared: &Shared) {
+        let out: Vec<Send> = {
+            let swim = lock(&self.swim);
+            let own = shared.settings.listen.peers;
+            let seeds = shared.settings.seeds.iter().filter(|seed| **seed != own);
+            let status = status(shared, self);
+            seeds.map(|seed| swim.knock(*seed, status)).collect()
+        };
+        send_all(self, out).await;
+    }
+
     fn introduce(&self, shared: &Shared, adverts: &[Advert]) {
         let now = shared.now();
         let mut swim = lock(&self.swim);
@@ -185,7 +209,14 @@
 }
 
 /// Finds the members, and keeps finding those that the probes lost.
+///
+/// Seeds are asked first, as they cost nothing. The adverts in the store are
+/// for entries whose seeds are all gone: those that watch the store keep theirs
+/// there, and whoever knows nobody reads them.
 pub(crate) async fn find(shared: Arc<Shared>, members: Arc<Members>, adverts: Arc<dyn Adverts>) {
+    if !serves(&shared).await {
+        return;
+    }
     let settings = &shared.settings;
     let own = Advert {
         member: settings.entry.member.clone(),
@@ -194,30 +225,42 @@
     };
     let mut published = false;
     loop {
-        shared.metrics.count_store("adverts");
-        let rest = match adverts.list(Freshness::Stale).await {
-            Ok(list) => {
-                members.introduce(&shared, &list);
-                share(&shared, &members);
-                published |= list.contains(&own);
-                if published {
-                    sweep(&shared, &members, &list, &*adverts).await;
+        members.knock(&shared).await;
+        sleep(ANSWER).await;
+        let alone = members.count() <= 1;
+        let watches = *shared.upstream.borrow() == Upstream::Store;
+        if alone || watches {
+            shared.metrics.count_store("adverts");
+            match adverts.list(Freshness::Stale).await {
+                Ok(list) => {
+                    members.introduce(&shared, &list);
+                    share(&shared, &members);
+                    published |= list.contains(&own);
+                    if published {
+                        sweep(&shared, &members, &list, &*adverts).await;
+                    }
+                }
+                Err(error) => {
+                    warn!(shared.host.log, "fleet: can't read the adverts"; "why" => %error);
                 }
-                AGAIN
-            }
-            Err(error) => {
-                warn!(shared.host.log, "fleet: can't read the adverts"; "why" => %error);
-                REST
             }
-        };
-        if !published {
+        }
+        if watches && !published {
             published = publish(&shared, &own, &*adverts).await;
         }
-        let rest = if published { rest } else { REST };
-        sleep(rest).await;
+        let settled = members.count() > 1 && (published || !watches);
+        sleep(if settled { AGAIN } else { REST }).await;
     }
 }
 
+/// Waits until the entry serves: others send callers to every member that they
+/// have heard of. Tells whether it does; if not, it has ended.
+async fn serves(shared: &Shared) -> bool {
+    let mut phases = shared.phase.subscribe();
+    let served = phases.wait_for(|phase| *phase > Phase::Starting).await;
+    served.is_ok()
+}
+
 async fn publish(shared: &Shared, own: &Advert, adverts: &dyn Adverts) -> bool {
     shared.metrics.count_store("publish");
     match adverts.publish(own.clone()).await {
@@ -261,14 +304,7 @@
 
 /// Probes, and answers probes, for as long as the entry runs.
 pub(crate) async fn probe(shared: Arc<Shared>, members: Arc<Members>) {
-    let mut phases = shared.phase.subscribe();
-    // Others list every member that they have heard of: an entry speaks only
-    // once it serves. An error means that the entry ends.
-    if phases
-        .wait_for(|phase| *phase > Phase::Starting)
-        .await
-        .is_err()
-    {
+    if !serves(&shared).await {
         return;
     }
     announce(&shared, &members).await;
@@ -353,6 +389,7 @@
         };
         info!(shared.host.log, "fleet: {id} {word}");
     }
+    shared.choose.notify_one();
     share(shared, members);
 }
 
--- /dev/null
+++ b/crates/relay/src/mirror.rs
@@ -0,0 +1,117 @@
+//! What an entry has heard of one list of objects, to pass it on.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use chestnut_port::{Batch, FeedError, Item};
+
+/// Changes that are remembered. A follower that is further behind reads
+/// everything; the ones that keep up are within a few changes.
+const REMEMBERED: usize = 1024;
+
+/// The objects of one list, and its last changes.
+#[derive(Clone, Debug)]
+pub struct Mirror<T> {
+    values: BTreeMap<String, T>,
+    /// Revision and name, oldest first.
+    changes: VecDeque<(u64, String)>,
+    /// Changes after this revision are all remembered.
+    from: u64,
+    /// Up to where the list has been heard; `None` before the first list.
+    heard: Option<u64>,
+}
+
+impl<T> Default for Mirror<T> {
+    fn default() -> Self {
+        Self {
+            values: BTreeMap::new(),
+            changes: VecDeque::new(),
+            from: 0,
+            heard: None,
+        }
+    }
+}
+
+impl<T: Clone> Mirror<T> {
+    /// Takes an answer: the whole list, or changes.
+    pub fn take(&mut self, batch: &Batch<T>, whole: bool) {
+        match whole {
+            true => self.listed(batch),
+            false => self.changed(batch),
+        }
+    }
+
+    /// Takes the whole list.
+    pub fn listed(&mut self, batch: &Batch<T>) {
+        let present = batch.items.iter().filter_map(|item| {
+            let value = item.value.clone()?;
+            Some((item.name.clone(), value))
+        });
+        self.values = present.collect();
+        self.changes.clear();
+        self.from = batch.revision;
+        self.heard = Some(batch.revision);
+    }
+
+    /// Takes changes.
+    pub fn changed(&mut self, batch: &Batch<T>) {
+        for item in &batch.items {
+            match &item.value {
+                Some(value) => self.values.insert(item.name.clone(), value.clone()),
+                None => self.values.remove(&item.name),
+            };
+            let change = (batch.revision, item.name.clone());
+            self.changes.push_back(change);
+        }
+        while self.changes.len() > REMEMBERED {
+            if let Some((revision, _)) = self.changes.pop_front() {
+                self.from = revision;
+            }
+        }
+        self.heard = self.heard.max(Some(batch.revision));
+    }
+
+    /// The whole list.
+    ///
+    /// # Errors
+    ///
+    /// Nothing has been heard yet.
+    pub fn all(&self) -> Result<Batch<T>, FeedError> {
+        let revision = self.revision()?;
+        let item = |(name, value): (&String, &T)| Item {
+            name: name.clone(),
+            value: Some(value.clone()),
+        };
+        Ok(Batch {
+            items: self.values.iter().map(item).collect(),
+            revision,
+        })
+    }
+
+    /// What changed after `revision`.
+    ///
+    /// # Errors
+    ///
+    /// That is longer ago than what is remembered, or nothing has been heard.
+    pub fn since(&self, revision: u64) -> Result<Batch<T>, FeedError> {
+        let heard = self.revision()?;
+        if revision < self.from {
+            return Err(FeedError::HistoryGone);
+        }
+        let new = self.changes.iter().filter(|(at, _)| *at > revision);
+        let names: BTreeSet<&String> = new.map(|(_, name)| name).collect();
+        let item = |name: &String| Item {
+            name: name.clone(),
+            value: self.values.get(name).cloned(),
+        };
+        Ok(Batch {
+            items: names.into_iter().map(item).collect(),
+            // A follower may have heard more, from another entry.
+            revision: heard.max(revision),
+        })
+    }
+
+    fn revision(&self) -> Result<u64, FeedError> {
+        self.heard
+            .ok_or_else(|| FeedError::Unavailable("nothing heard yet".to_owned()))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pass.rs
@@ -0,0 +1,127 @@
+//! Passes on to other entries what this one hears of the store.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use chestnut_book::Book;
+use chestnut_flow::lock;
+use chestnut_port::{Batch, FeedError, FeedService, Item, RawBatch};
+use chestnut_unit::LeafId;
+use futures::{FutureExt, future::BoxFuture};
+use serde::Serialize;
+use tokio::{sync::watch, time::timeout};
+
+use crate::{
+    LeafEntry, Mirror, Upstream,
+    shared::Shared,
+    source::{BOOK, LEAFS},
+};
+
+/// What is passed on.
+pub(crate) struct Passed {
+    pub(crate) book: Mutex<Mirror<Book>>,
+    pub(crate) leafs: Mutex<Mirror<(LeafId, LeafEntry)>>,
+    /// Raised with every answer of a feed.
+    pub(crate) told: watch::Sender<u64>,
+}
+
+impl Passed {
+    pub(crate) fn new() -> Self {
+        Self {
+            book: Mutex::default(),
+            leafs: Mutex::default(),
+            told: watch::Sender::new(0),
+        }
+    }
+}
+
+/// The service to other entries.
+pub(crate) struct Passing(pub(crate) Arc<Shared>);
+
+impl Passing {
+    /// What a feed tells, or why this entry can't tell now. Only one that hears
+    /// of the store itself does.
+    fn tell(
+        &self,
+        feed: &str,
+        book: impl Fn(&Mirror<Book>) -> Result<Batch<Book>, FeedError>,
+        leafs: impl Fn(&Mirror<(LeafId, LeafEntry)>) -> Result<Batch<(LeafId, LeafEntry)>, FeedError>,
+    ) -> Result<RawBatch, FeedError> {
+        self.pulse()?;
+        match feed {
+            BOOK => raw(book(&lock(&self.0.passed.book))?),
+            LEAFS => raw(leafs(&lock(&self.0.passed.leafs))?),
+            _ => Err(FeedError::Refused(format!("no feed {feed}"))),
+        }
+    }
+
+    async fn wait(&self, feed: &str, revision: u64) -> Result<RawBatch, FeedError> {
+        let mut told = self.0.passed.told.subscribe();
+        let mut pulses = self.0.pulse.subscribe();
+        loop {
+            told.borrow_and_update();
+            pulses.borrow_and_update();
+            let batch = self.tell(feed, |m| m.since(revision), |m| m.since(revision))?;
+            if !batch.items.is_empty() {
+                return Ok(batch);
+            }
+            tokio::select! {
+                // An error means that the entry ends.
+                _ = told.changed() => {}
+                _ = pulses.changed() => {}
+            }
+        }
+    }
+}
+
+impl FeedService for Passing {
+    fn pulse(&self) -> Result<u64, FeedError> {
+        let pulse = *self.0.pulse.borrow();
+        let lost = |why: &str| Err(FeedError::Unavailable(why.to_owned()));
+        if *self.0.upstream.borrow() != Upstream::Store {
+            return lost("this entry follows another one");
+        }
+        match pulse.is_lost() || pulse.revision() == 0 {
+            true => lost("this entry has no store"),
+            false => Ok(pulse.revision()),
+        }
+    }
+
+    fn all(&self, feed: &str) -> Result<RawBatch, FeedError> {
+        self.tell(feed, Mirror::all, Mirror::all)
+    }
+
+    fn follow(
+        &self,
+        feed: String,
+        revision: u64,
+        wait: Duration,
+    ) -> BoxFuture<'static, Result<RawBatch, FeedError>> {
+        let this = Self(self.0.clone());
+        async move {
+            let waited = timeout(wait, this.wait(&feed, revision)).await;
+            let items = Vec::new();
+            waited.unwrap_or(Ok(RawBatch { items, revision }))
+        }
+        .boxed()
+    }
+}
+
+fn raw<T: Serialize>(batch: Batch<T>) -> Result<RawBatch, FeedError> {
+    let items = batch.items.into_iter().map(|item| {
+        let json = item.value.map(|value| serde_json::to_vec(&value));
+        Ok(Item {
+            name: item.name,
+            value: json.transpose()?.map(Bytes::from),
+        })
+    });
+    Ok(Batch {
+        items: items
+            .collect::<Result<_, serde_json::Error>>()
+            .map_err(|error| FeedError::Refused(error.to_string()))?,
+        revision: batch.revision,
+    })
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! The handle of a running entry.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -8,8 +9,9 @@
 
 use chestnut_book::{Book, CallerLimits};
 use chestnut_flow::{Host, lock};
-use chestnut_port::{Feed, Forward, Probes};
+use chestnut_port::{Feed, FeedService, Forward, Probes};
 use chestnut_unit::LeafId;
+use futures::future::BoxFuture;
 use slog::info;
 use tokio::{sync::watch, task::JoinSet, time::sleep};
 
@@ -17,17 +19,27 @@
     forward::{self, Ask, Reply},
     leafs::LeafEntry,
     members::{self, Adverts, Members},
+    pass::Passing,
     settings::RelaySettings,
     shared::{Phase, Shared},
+    source::{self, FeedPeers, Sources},
     watch as feeds,
 };
 
+/// Makes the port to the feeds of other entries, once the service that passes
+/// on this one's exists.
+pub type FeedBinder = Box<
+    dyn FnOnce(Arc<dyn FeedService>) -> BoxFuture<'static, io::Result<Arc<dyn FeedPeers>>> + Send,
+>;
+
 /// The ports that a relay runs over.
 pub struct RelayPorts {
-    /// The book.
+    /// The book, in the store.
     pub book: Arc<dyn Feed<Book>>,
-    /// The leafs.
+    /// The leafs, in the store.
     pub leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
+    /// The feeds of other entries.
+    pub peers: FeedBinder,
     /// The adverts of the entries.
     pub adverts: Arc<dyn Adverts>,
     /// Calls to leafs.
@@ -46,25 +58,37 @@
 
 impl Relay {
     /// Starts an entry over `ports`.
-    #[must_use]
-    pub fn spawn(settings: RelaySettings, host: Host, ports: RelayPorts) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// The port to other entries can't be bound.
+    pub async fn spawn(settings: RelaySettings, host: Host, ports: RelayPorts) -> io::Result<Self> {
         let shared = Arc::new(Shared::new(settings, host, ports.forward));
         let members = Arc::new(Members::new(&shared, ports.probes));
+        let sources = Arc::new(Sources {
+            book: ports.book,
+            leafs: ports.leafs,
+            peers: (ports.peers)(Arc::new(Passing(shared.clone()))).await?,
+        });
         let mut set = JoinSet::new();
-        set.spawn(feeds::pulse(shared.clone(), ports.book.clone()));
-        set.spawn(feeds::book(shared.clone(), ports.book));
-        set.spawn(feeds::leafs(shared.clone(), ports.leafs));
+        set.spawn(source::run(
+            shared.clone(),
+            members.clone(),
+            sources.clone(),
+        ));
+        set.spawn(feeds::book(shared.clone(), sources.clone()));
+        set.spawn(feeds::leafs(shared.clone(), sources));
         set.spawn(members::find(
             shared.clone(),
             members.clone(),
             ports.adverts,
         ));
         set.spawn(members::probe(shared.clone(), members.clone()));
-        Self {
+        Ok(Self {
             shared,
             members,
             _tasks: Arc::new(set),
-        }
+        })
     }
 
     /// Takes a request through the request path. Dropping the future cancels
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -20,6 +20,9 @@
     pub listen: RelayListen,
     /// The store that holds the book, the leafs and the adverts.
     pub store: StoreSettings,
+    /// Addresses of some entries, for peers. They may be stale.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Bound on extra calls.
     pub extra: ExtraCalls,
     /// How long things last.
@@ -69,7 +72,7 @@
     pub readiness: SocketAddr,
     /// Questions where to connect.
     pub directory: SocketAddr,
-    /// Probes of peers, UDP.
+    /// Peers: TCP for feeds and UDP for probes, on the same port.
     pub peers: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
 };
@@ -18,14 +18,16 @@
 };
 use chestnut_unit::{IndexVersion, LeafId, RequestId, ServiceName, ShardName, Snapshot, Time};
 use slog::info;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     allot::Allotment,
     leafs::{LeafEntry, LeafState, Leafs, Moved},
     metrics::Metrics,
+    pass::Passed,
     pulse::Pulse,
     settings::RelaySettings,
+    upstream::{Choice as UpstreamChoice, Upstream},
 };
 
 /// Where an entry is in its life.
@@ -87,6 +89,12 @@
     pub(crate) metrics: Metrics,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pulse: watch::Sender<Pulse>,
+    pub(crate) upstream: watch::Sender<Upstream>,
+    pub(crate) passed: Passed,
+    /// Which peers failed as upstream.
+    pub(crate) upstreams: Mutex<UpstreamChoice>,
+    /// The upstream may have to change.
+    pub(crate) choose: Notify,
     pub(crate) in_flight: AtomicU32,
     /// Calls to leafs so far.
     pub(crate) calls: AtomicU64,
@@ -135,6 +143,10 @@
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Starting),
             pulse: watch::Sender::new(Pulse::default()),
+            upstream: watch::Sender::new(Upstream::Store),
+            passed: Passed::new(),
+            upstreams: Mutex::default(),
+            choose: Notify::new(),
             in_flight: AtomicU32::new(0),
             calls: AtomicU64::new(0),
             requests: AtomicU64::new(1),
@@ -153,6 +165,13 @@
         RequestId(self.requests.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Takes it that a peer failed as upstream.
+    pub(crate) fn failed(&self, peer: SocketAddr) {
+        let now = self.now();
+        lock(&self.upstreams).failed(peer, now.since(Time::ZERO), now);
+        self.choose.notify_one();
+    }
+
     /// Takes a book, unless a newer one is known.
     pub(crate) fn take_book(&self, book: Book) -> bool {
         let mut state = lock(&self.cell.state);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -4,111 +4,99 @@
 
 use chestnut_book::Book;
 use chestnut_flow::lock;
-use chestnut_port::{Batch, Feed, Freshness, Item};
+use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
-use rand::Rng;
 use slog::{info, warn};
 use tokio::time::{sleep, sleep_until};
 
 use crate::{
+    Upstream,
     follow::{Follower, Next},
     leafs::{LeafEntry, Moved},
     shared::{Phase, Shared, take_moves},
+    source::{self, Sources},
 };
 
 /// How long one watch waits for a change. Each call is paid for, so as long as
 /// stores let it wait; a watch that is lost is found by the pulse and not by
 /// its end.
 const WATCH: Duration = Duration::from_secs(25);
-/// Time between two pulses. A store that is lost or back is noticed within it,
-/// well within the four seconds in which entries are to be in touch again.
-const PULSE: Duration = Duration::from_secs(1);
+/// Rest after a peer failed, in which another upstream is chosen.
+const PEER_REST: Duration = Duration::from_millis(20);
+/// Rest after an answer that is older than what is known, from a peer that has
+/// heard less.
+const OLD_REST: Duration = Duration::from_millis(100);
 /// Pause between an answer of a watch and the next one. Changes mostly come
 /// several at a time, and each call is paid for; a leaf that leaves serves for
 /// some seconds more, so a quarter of a second is in time.
 const GATHER: Duration = Duration::from_millis(250);
 
 /// Follows the book for as long as the entry runs.
-pub(crate) async fn book(shared: Arc<Shared>, feed: Arc<dyn Feed<Book>>) {
-    follow(&shared, &*feed, "book", |batch, _| {
-        take_book(&shared, batch)
-    })
-    .await;
+pub(crate) async fn book(shared: Arc<Shared>, sources: Arc<Sources>) {
+    let take = |batch: Batch<Book>, whole| {
+        lock(&shared.passed.book).take(&batch, whole);
+        take_book(&shared, batch);
+    };
+    follow(&shared, |from| sources.book(from), source::BOOK, take).await;
 }
 
 /// Follows the leafs for as long as the entry runs.
-pub(crate) async fn leafs(shared: Arc<Shared>, feed: Arc<dyn Feed<(LeafId, LeafEntry)>>) {
-    let take = |batch, whole| take_leafs(&shared, batch, whole);
-    tokio::join!(follow(&shared, &*feed, "leafs", take), lapses(&shared));
-}
-
-/// Asks for the store's pulse for as long as the entry runs.
-pub(crate) async fn pulse(shared: Arc<Shared>, feed: Arc<dyn Feed<Book>>) {
-    loop {
-        shared.metrics.count_store("pulse");
-        let answer = feed.pulse().await;
-        let now = shared.now();
-        let mut change = (None, false);
-        shared.pulse.send_modify(|pulse| match &answer {
-            Ok(revision) => change.0 = pulse.answered(*revision, now),
-            Err(_) => change.1 = pulse.failed(now),
-        });
-        match (answer, change) {
-            (_, (Some(span), _)) => regained(&shared, span),
-            (Err(error), (_, true)) => {
-                warn!(shared.host.log, "watch: lost the store"; "why" => %error);
-            }
-            _ => {}
-        }
-        // Drawn from three quarters to the whole, so that entries that started
-        // together don't ask together.
-        let draw = shared.host.rng().next_u64() as f64 / u64::MAX as f64;
-        sleep(PULSE.mul_f64(0.75 + 0.25 * draw)).await;
-    }
-}
-
-fn regained(shared: &Shared, span: Duration) {
-    info!(shared.host.log, "watch: the store is back"; "lost_ms" => span.as_millis() as u64);
-    let now = shared.now();
-    lock(&shared.cell.state).extra.leafs.returned(now);
+pub(crate) async fn leafs(shared: Arc<Shared>, sources: Arc<Sources>) {
+    let take = |batch: Batch<(LeafId, LeafEntry)>, whole| {
+        lock(&shared.passed.leafs).take(&batch, whole);
+        take_leafs(&shared, batch, whole);
+    };
+    let follow = follow(&shared, |from| sources.leafs(from), source::LEAFS, take);
+    tokio::join!(follow, lapses(&shared));
 }
 
 async fn follow<T>(
     shared: &Shared,
-    feed: &dyn Feed<T>,
+    feed: impl Fn(Upstream) -> Arc<dyn Feed<T>>,
     what: &'static str,
     take: impl Fn(Batch<T>, bool),
 ) {
     let mut follower = Follower::default();
     loop {
         store_there(shared).await;
+        let upstream = *shared.upstream.borrow();
         let next = follower.next();
-        shared.metrics.count_store(what);
-        let answer = match next {
-            Next::List => feed.list(Freshness::Now).await,
-            Next::Watch(revision) => {
-                let started = shared.pulse.borrow().revision();
-                tokio::select! {
-                    biased;
-                    answer = feed.watch(revision, WATCH) => answer,
-                    () = overdue(shared, revision, started) => {
-                        info!(shared.host.log, "watch: asking again, a change was not told";
-                            "what" => what, "revision" => revision);
-                        continue;
-                    }
+        if upstream == Upstream::Store {
+            shared.metrics.count_store(what);
+        }
+        let source = feed(upstream);
+        let answer = tokio::select! {
+            biased;
+            answer = ask(&*source, next) => answer,
+            () = overdue(shared, next, upstream) => {
+                if *shared.upstream.borrow() == upstream {
+                    info!(shared.host.log, "watch: asking again, a change was not told";
+                        "what" => what, "next" => format!("{next:?}"));
                 }
+                continue;
             }
         };
-        match answer {
-            Ok(batch) => {
+        match (answer, upstream) {
+            (Ok(batch), _) if follower.is_old(batch.revision) => sleep(OLD_REST).await,
+            (Ok(batch), _) => {
                 follower.answered(batch.revision);
                 let changed = !batch.items.is_empty();
                 take(batch, next == Next::List);
-                if changed && next != Next::List {
+                shared.passed.told.send_modify(|told| *told += 1);
+                if changed && next != Next::List && upstream == Upstream::Store {
                     sleep(GATHER).await;
                 }
             }
-            Err(error) => {
+            (Err(error @ FeedError::HistoryGone), _) => {
+                follower.failed(&error, &mut shared.host.rng());
+            }
+            (Err(error), Upstream::Peer(peer)) => {
+                info!(shared.host.log, "watch: a peer failed"; "what" => what,
+                    "peer" => %peer, "why" => %error);
+                shared.failed(peer);
+                sleep(PEER_REST).await;
+            }
+            (Err(error), Upstream::Store) => {
                 let rest = follower.failed(&error, &mut shared.host.rng());
                 warn!(shared.host.log, "watch: a call failed"; "what" => what,
                     "why" => %error, "rest_ms" => rest.as_millis() as u64);
@@ -118,6 +106,13 @@
     }
 }
 
+async fn ask<T>(feed: &dyn Feed<T>, next: Next) -> Result<Batch<T>, FeedError> {
+    match next {
+        Next::List => feed.list(Freshness::Now).await,
+        Next::Watch(revision) => feed.watch(revision, WATCH).await,
+    }
+}
+
 /// Waits until the store answers pulses. Calls to one that does not would only
 /// be paid for.
 async fn store_there(shared: &Shared) {
@@ -129,16 +124,21 @@
         .await;
 }
 
-/// Waits until a watch is not to be waited for any longer: the store is lost,
-/// or has changed and the watch did not tell.
-async fn overdue(shared: &Shared, revision: u64, started: u64) {
+/// Waits until a call is not to be waited for any longer: the store is lost, or
+/// has changed and the call did not tell, or the upstream is another now.
+async fn overdue(shared: &Shared, next: Next, from: Upstream) {
+    let mut upstreams = shared.upstream.subscribe();
     let mut pulses = shared.pulse.subscribe();
+    let started = pulses.borrow().revision();
     loop {
         let pulse = *pulses.borrow_and_update();
-        if pulse.is_lost() {
+        if pulse.is_lost() || *upstreams.borrow_and_update() != from {
             return;
         }
-        let until = pulse.overdue(revision, started);
+        let until = match next {
+            Next::Watch(revision) => pulse.overdue(revision, started),
+            Next::List => None,
+        };
         if until.is_some_and(|until| until <= shared.now()) {
             return;
         }
@@ -146,6 +146,7 @@
         tokio::select! {
             // An error means that the entry ends.
             _ = pulses.changed() => {}
+            _ = upstreams.changed() => {}
             () = sleep_until(wake) => {}
         }
     }
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -241,7 +241,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_unknown_path_is_told_from_an_entry_that_starts() {
     let stage = Stage::default();
-    let starting = stage.spawn(2);
+    let starting = stage.spawn(2).await;
     let Reply::Declined(declined) = starting.forward(ask("r", "/a/x")).await else {
         panic!("answered");
     };
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -15,16 +15,18 @@
 use chestnut_fleet::Probe;
 use chestnut_flow::{Host, Trace, lock};
 use chestnut_port::{
-    Batch, Clock, Feed, FeedError, Forward, Freshness, Item, LeafCall, LeafFailure, LeafReply,
-    Message, Probes,
+    Batch, Clock, Feed, FeedError, FeedService, Forward, Freshness, Item, LeafCall, LeafFailure,
+    LeafReply, Message, Probes, RawBatch,
 };
 use chestnut_relay::{
-    Advert, Adverts, Ask, LeafEntry, LeafState, Phase, Relay, RelayPorts, RelaySettings, Reply,
+    Advert, Adverts, Ask, FeedPeers, LeafEntry, LeafState, Phase, Relay, RelayPorts, RelaySettings,
+    Reply,
 };
 use chestnut_route::Refusal;
 use chestnut_unit::{LeafId, MemberId, ServiceName, Share};
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{HeaderMap, Method, Response, header::HeaderValue, http::uri::PathAndQuery};
+use serde::de::DeserializeOwned;
 use slog::{Discard, Logger, o};
 use tokio::{
     sync::{Notify, mpsc},
@@ -451,17 +453,90 @@
     }
 }
 
+/// Feeds between entries: calls go straight to the other's service.
+#[derive(Clone, Default)]
+pub struct FakeFeeds(Arc<Mutex<BTreeMap<SocketAddr, Arc<dyn FeedService>>>>);
+
+impl FakeFeeds {
+    /// Has an entry answer nobody any more.
+    pub fn cut(&self, entry: SocketAddr) {
+        lock(&self.0).remove(&entry);
+    }
+}
+
+impl FeedPeers for FakeFeeds {
+    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<Book>> {
+        Arc::new(FakePeerFeed(self.clone(), to, "book"))
+    }
+
+    fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<LeafItem>> {
+        Arc::new(FakePeerFeed(self.clone(), to, "leafs"))
+    }
+}
+
+struct FakePeerFeed(FakeFeeds, SocketAddr, &'static str);
+
+impl FakePeerFeed {
+    async fn service(&self) -> Result<Arc<dyn FeedService>, FeedError> {
+        let service = lock(&self.0.0).get(&self.1).cloned();
+        match service {
+            Some(service) => Ok(service),
+            None => {
+                sleep(Duration::from_millis(400)).await;
+                Err(FeedError::Unavailable("no answer".to_owned()))
+            }
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(raw: RawBatch) -> Batch<T> {
+    let items = raw.items.into_iter().map(|item| Item {
+        name: item.name,
+        value: item
+            .value
+            .map(|json| serde_json::from_slice(&json).unwrap()),
+    });
+    Batch {
+        items: items.collect(),
+        revision: raw.revision,
+    }
+}
+
+impl<T: DeserializeOwned + Send + Sync> Feed<T> for FakePeerFeed {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        async move { Ok(parse(self.service().await?.all(self.2)?)) }.boxed()
+    }
+
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
+        async move { self.service().await?.pulse() }.boxed()
+    }
+
+    fn watch(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        async move {
+            let service = self.service().await?;
+            let raw = service.follow(self.2.to_owned(), after, wait).await?;
+            if !lock(&self.0.0).contains_key(&self.1) {
+                // Cut meanwhile: the answer never comes.
+                return futures::future::pending().await;
+            }
+            Ok(parse(raw))
+        }
+        .boxed()
+    }
+}
+
 /// Everything that the entries of one test share.
 #[derive(Clone, Default)]
 pub struct Stage {
     pub store: FakeStore,
     pub leafs: FakeLeafs,
     pub net: FakeNet,
+    pub feeds: FakeFeeds,
 }
 
 impl Stage {
     /// Starts entry number `n`. The settings are those of a small deployment.
-    pub fn spawn(&self, n: u16) -> Relay {
+    pub async fn spawn(&self, n: u16) -> Relay {
         let text = format!(
             "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\ncores = 0.25\nlink = 1000\n\
              [listen]\ncallers = \"10.0.0.{n}:1\"\nreadiness = \"10.0.0.{n}:2\"\n\
@@ -473,19 +548,24 @@
         let probes = self.net.join(settings.listen.peers);
         let log = Logger::root(Discard, o!());
         let host = Host::new(log, Trace::None, Clock::start(), u64::from(n));
+        let (feeds, own) = (self.feeds.clone(), settings.listen.peers);
         let ports = RelayPorts {
             book: Arc::new(self.store.clone()),
             leafs: Arc::new(self.store.clone()),
+            peers: Box::new(move |service| {
+                lock(&feeds.0).insert(own, service);
+                async move { Ok(Arc::new(feeds) as Arc<dyn FeedPeers>) }.boxed()
+            }),
             adverts: Arc::new(self.store.clone()),
             forward: Arc::new(self.leafs.clone()),
             probes: Arc::new(probes),
         };
-        Relay::spawn(settings, host, ports)
+        Relay::spawn(settings, host, ports).await.unwrap()
     }
 
     /// Starts an entry and waits until it serves.
     pub async fn serving(&self, n: u16) -> Relay {
-        let relay = self.spawn(n);
+        let relay = self.spawn(n).await;
         let mut phases = relay.phases();
         phases
             .wait_for(|phase| *phase > Phase::Starting)
@@ -508,6 +588,11 @@
     }
 }
 
+/// Where entry number `n` listens for peers.
+pub fn peers_address(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n as u8], 4))
+}
+
 /// One record that names a service.
 pub fn record(service: &str) -> Bytes {
     let mut bytes = service.as_bytes().to_vec();
