Use leaving leafs as the last choice, watch once a domain, start nothing in vain

Two watchers a domain cost twice the store's calls. Now such a request is refused before any call, with proof that nothing ran; a leaf that leaves is the last choice until 1.8 s before it must be left alone; one entry a domain watches and the second follows it. Tests with the change.

--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -50,6 +50,8 @@
     entry: LeafEntry,
     /// Since when the entry is missing.
     missing: Option<Time>,
+    /// Until when a leaf that leaves may be called.
+    linger: Option<Time>,
 }
 
 /// A change that the request path acts upon.
@@ -57,8 +59,10 @@
 pub enum Moved {
     /// A leaf is new, or its entry changed.
     Came(LeafId, LeafEntry),
-    /// A leaf takes no new work.
+    /// A leaf is leaving. It is called only where no other can be.
     Leaves(LeafId),
+    /// A leaf that is leaving takes no new work any more.
+    Closed(LeafId),
     /// The entry of a leaf that took work is missing. It is called only where
     /// no other can be, until it is known whether the entry lapsed.
     Missing(LeafId),
@@ -74,20 +78,25 @@
 /// keeping them would send work to leafs that left. So a missing leaf that was
 /// ready stays callable, as the last choice, for as long as lapsed entries need
 /// to come back. That is shorter than the time that a leaving leaf goes on
-/// serving, so nothing is lost on one that left without saying so.
+/// serving, so nothing is lost on one that left without saying so. A leaf that
+/// says that it leaves is the last choice for a while too: a shard whose leafs
+/// all leave before others come would otherwise be missing, though they serve.
 #[derive(Clone, Debug)]
 pub struct Leafs {
     known: BTreeMap<LeafId, Known>,
     lapse: Duration,
+    linger: Duration,
 }
 
 impl Leafs {
-    /// No leafs. A missing entry counts as gone after `lapse`.
+    /// No leafs. A missing entry counts as gone after `lapse`, and a leaf that
+    /// leaves takes no work after `linger`.
     #[must_use]
-    pub fn new(lapse: Duration) -> Self {
+    pub fn new(lapse: Duration, linger: Duration) -> Self {
         Self {
             known: BTreeMap::new(),
             lapse,
+            linger,
         }
     }
 
@@ -119,7 +128,7 @@
         let present: std::collections::BTreeSet<LeafId> =
             list.iter().map(|(id, _)| id.clone()).collect();
         for (id, entry) in list {
-            self.changed(id, entry, out);
+            self.changed(id, entry, now, out);
         }
         let absent = self.known.keys().filter(|id| !present.contains(*id));
         for id in absent.cloned().collect::<Vec<_>>() {
@@ -128,17 +137,25 @@
     }
 
     /// Takes a new or changed entry.
-    pub fn changed(&mut self, id: LeafId, entry: LeafEntry, out: &mut Vec<Moved>) {
+    pub fn changed(&mut self, id: LeafId, entry: LeafEntry, now: Time, out: &mut Vec<Moved>) {
         let old = self.known.get(&id);
         if old.is_some_and(|known| known.missing.is_none() && known.entry.is_same(&entry)) {
             return;
         }
+        let linger = match entry.state {
+            LeafState::Ready => None,
+            LeafState::Draining => Some(now + self.linger),
+        };
         out.push(match entry.state {
             LeafState::Ready => Moved::Came(id.clone(), entry.clone()),
             LeafState::Draining => Moved::Leaves(id.clone()),
         });
-        let missing = None;
-        self.known.insert(id, Known { entry, missing });
+        let known = Known {
+            entry,
+            missing: None,
+            linger,
+        };
+        self.known.insert(id, known);
     }
 
     /// Takes it that an entry was deleted.
@@ -165,8 +182,15 @@
         }
     }
 
-    /// Gives up leafs that have been missing too long.
+    /// Gives up leafs that have been missing too long, and closes those that
+    /// have been leaving too long.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Moved>) {
+        for (id, known) in &mut self.known {
+            if known.linger.is_some_and(|until| until <= now) {
+                known.linger = None;
+                out.push(Moved::Closed(id.clone()));
+            }
+        }
         let lapse = self.lapse;
         let over = |known: &Known| known.missing.is_some_and(|since| now.since(since) >= lapse);
         let gone: Vec<LeafId> = self
@@ -184,7 +208,9 @@
     /// When [`Leafs::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
-        let missing = self.known.values().filter_map(|known| known.missing);
-        missing.min().map_or(Time::MAX, |since| since + self.lapse)
+        let known = self.known.values();
+        let lapse = |known: &Known| known.missing.map(|since| since + self.lapse);
+        let wakes = known.flat_map(|known| [lapse(known), known.linger]);
+        wakes.flatten().min().unwrap_or(Time::MAX)
     }
 }
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -127,6 +127,10 @@
     Duration::from_secs(2)
 }
 
+/// Longest time from a change in the store until it is known here, with a
+/// watcher that dies or a watch that is lost on the way: a pulse a second, its
+/// wait of 0.4 s, and the rest for answers.
+const HEARD: Duration = Duration::from_millis(1800);
 /// Longest time for entries that lapsed while the store was away to come back.
 /// The store promises about two seconds.
 const LAPSE: Duration = Duration::from_millis(2200);
@@ -134,6 +138,13 @@
 const LAPSE_PART: f64 = 0.75;
 
 impl Times {
+    /// How long a leaf that is leaving may still be called where no other can
+    /// be.
+    #[must_use]
+    pub fn linger(&self) -> Duration {
+        self.drain.saturating_sub(HEARD)
+    }
+
     /// How long a leaf whose entry is missing may still be called.
     #[must_use]
     pub fn lapse(&self) -> Duration {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -22,7 +22,7 @@
 
 use crate::{
     allot::Allotment,
-    leafs::{LeafEntry, LeafState, Leafs, Moved},
+    leafs::{LeafEntry, Leafs, Moved},
     metrics::Metrics,
     pass::Passed,
     pulse::Pulse,
@@ -125,7 +125,7 @@
         };
         let ground = Ground {
             book: None,
-            leafs: Leafs::new(settings.times.lapse()),
+            leafs: Leafs::new(settings.times.lapse(), settings.times.linger()),
             places: BTreeMap::new(),
             rules: BTreeMap::new(),
             purses: BTreeMap::new(),
@@ -215,8 +215,8 @@
     for moved in moves {
         match moved {
             Moved::Came(id, entry) => came(state, id, entry, own, now),
-            Moved::Leaves(id) => set_leaving(state, id, now),
-            Moved::Missing(id) => set_doubt(state, id, true),
+            Moved::Leaves(id) | Moved::Missing(id) => set_doubt(state, id, true),
+            Moved::Closed(id) => set_leaving(state, id, now),
             Moved::Gone(id) => {
                 set_leaving(state, id, now);
                 let ix = state.table.find(&Backend::Leaf(id.clone()));
@@ -346,7 +346,6 @@
         .extra
         .leafs
         .of(service)
-        .filter(|(_, entry)| entry.state == LeafState::Ready)
         .filter_map(|(id, _)| state.table.find(&Backend::Leaf(id.clone())))
         .collect()
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -5,8 +5,9 @@
 use chestnut_fleet::{Liveness, Member};
 use chestnut_unit::Time;
 
-/// Entries of a failure domain that watch the store themselves. Two, so that
-/// one can go without a gap; more would spend the store's calls on nothing.
+/// Entries of a failure domain, the strongest first, of which the others follow
+/// the first that answers. Only the first watches the store, as long as it
+/// does; the second takes over within a pulse.
 const WATCHERS: usize = 2;
 /// How long a peer that did not answer is not asked again.
 const BAD_SPAN: Duration = Duration::from_secs(5);
@@ -28,8 +29,9 @@
 
 /// Chooses from whom to hear.
 ///
-/// Two entries of each failure domain watch the store, the strongest ones, and
-/// pass on what they hear; the others follow one of those. So the store's calls
+/// The strongest entry of each failure domain watches the store and passes on
+/// what it hears; the others follow it, or the second strongest if it does not
+/// answer. So the store's calls
 /// grow with the failure domains and not with the entries. An entry that finds
 /// nobody to follow watches the store itself, so losing all watchers costs a
 /// moment and no change. Entries that follow pass nothing on: two that took
@@ -70,12 +72,12 @@
             return self.seed(own, seeds, age);
         }
         near.sort_by_key(|member| (std::cmp::Reverse(member.weight), &member.id));
-        near.truncate(WATCHERS);
-        if near.iter().any(|member| member.id == own.id) {
-            return Upstream::Store;
-        }
-        let peers: Vec<SocketAddr> = near.iter().map(|m| m.addresses.peers).collect();
-        self.pick(own, &peers)
+        let before = near.iter().position(|member| member.id == own.id);
+        let peers = near.iter().take(before.unwrap_or(near.len()).min(WATCHERS));
+        let good = peers
+            .map(|member| member.addresses.peers)
+            .find(|peer| !self.bad.contains_key(peer));
+        good.map_or(Upstream::Store, Upstream::Peer)
     }
 
     /// Before any member is known.
@@ -83,7 +85,7 @@
         if age >= SEEDS_SPAN || seeds.contains(&own.addresses.peers) {
             return Upstream::Store;
         }
-        match self.pick(own, seeds) {
+        match self.pick_seed(own, seeds) {
             // None answers yet: they start at the same time as this entry.
             Upstream::Store => seeds
                 .first()
@@ -92,9 +94,9 @@
         }
     }
 
-    /// One of `peers` that is not known to be bad, a different one for
+    /// One of the seeds that is not known to be bad, a different one for
     /// different entries.
-    fn pick(&self, own: &Member, peers: &[SocketAddr]) -> Upstream {
+    fn pick_seed(&self, own: &Member, peers: &[SocketAddr]) -> Upstream {
         let good: Vec<&SocketAddr> = peers
             .iter()
             .filter(|peer| !self.bad.contains_key(peer))
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -28,8 +28,8 @@
 const OLD_REST: Duration = Duration::from_millis(100);
 /// Pause between an answer of a watch and the next one. Changes mostly come
 /// several at a time, and each call is paid for; a leaf that leaves serves for
-/// some seconds more, so a quarter of a second is in time.
-const GATHER: Duration = Duration::from_millis(250);
+/// some seconds more, so a third of a second is in time.
+const GATHER: Duration = Duration::from_millis(350);
 
 /// Follows the book for as long as the entry runs.
 pub(crate) async fn book(shared: Arc<Shared>, sources: Arc<Sources>) {
@@ -200,7 +200,7 @@
     moves: &mut Vec<Moved>,
 ) {
     match item.value {
-        Some((id, entry)) => leafs.changed(id, entry, moves),
+        Some((id, entry)) => leafs.changed(id, entry, now, moves),
         None => {
             if let Ok(id) = LeafId::new(&item.name) {
                 leafs.deleted(&id, now, moves);
@@ -236,6 +236,7 @@
         let (word, id) = match moved {
             Moved::Came(id, _) => ("takes work", id),
             Moved::Leaves(id) => ("is leaving", id),
+            Moved::Closed(id) => ("takes no more work", id),
             Moved::Missing(id) => ("is missing", id),
             Moved::Gone(id) => ("is gone", id),
         };
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use chestnut_book::{Kind, Target};
-use chestnut_relay::{Reply, Why};
+use chestnut_relay::{LeafState, Reply, Why};
 use chestnut_unit::Run;
 use futures::future::join_all;
 use rstest::rstest;
 use tokio::time::{Instant, sleep, timeout};
-use world::{Manner, Stage, ask, book, gather, missing, name, record, rule};
+use world::{Manner, Stage, ask, book, entry, gather, missing, name, record, rule};
 
 fn one(kind: Kind) -> chestnut_book::Book {
     book(1, vec![rule("/a/", kind, Target::One(name("archive")))])
@@ -354,3 +354,50 @@
         );
     }
 }
+
+/// The caller is refused at once, told that nothing ran, and when to return.
+/// Too many shards have no leaf at all for the least share. Asking the others
+/// would cost them work that no answer can use.
+#[tokio::test(start_paused = true)]
+async fn what_cannot_reach_the_least_share_is_not_started() {
+    let stage = Stage::default();
+    stage.add_leafs("s1", 2, 10);
+    let target = gather(&["s1", "s2", "s3"], 900);
+    stage
+        .store
+        .put_book(book(1, vec![rule("/q/", Kind::Idempotent, target)]));
+    let relay = stage.serving(1).await;
+    let Reply::Declined(declined) = relay.forward(ask("r", "/q/x")).await else {
+        panic!("answered");
+    };
+    assert_eq!(declined.run, Run::NotRun);
+    assert!(declined.after.is_some());
+    assert_eq!(stage.leafs.got().len(), 0);
+}
+
+/// Callers are answered while all leafs of a service are leaving: those go on
+/// serving for a while. Afterwards no leaf that left gets a call.
+#[tokio::test(start_paused = true)]
+async fn leafs_that_leave_serve_where_no_other_can() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(Kind::Idempotent));
+    let relay = stage.serving(1).await;
+    for leaf in &leafs {
+        stage
+            .store
+            .put_leaf(leaf, entry("archive", LeafState::Draining));
+    }
+    sleep(Duration::from_millis(600)).await;
+    assert!(matches!(
+        relay.forward(ask("r", "/a/x")).await,
+        Reply::Whole(_)
+    ));
+    sleep(Duration::from_millis(2000)).await;
+    let late = Instant::now();
+    assert!(matches!(
+        relay.forward(ask("r", "/a/x")).await,
+        Reply::Declined(_)
+    ));
+    assert!(stage.leafs.got().iter().all(|got| got.at < late));
+}
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -225,6 +225,12 @@
             goal_seen: false,
             stuck: true,
         };
+        if !query.is_reachable(cx) {
+            // Calls that are cancelled at once may still have been sent; with
+            // none the refusal can say that nothing ran.
+            query.end = Some(End::Partial(Give::NoReplica));
+            return query;
+        }
         let every: Vec<usize> = (0..query.shards.len()).collect();
         query.call(&every, CallKind::First, cx);
         query.first = query.calls.len();
@@ -309,6 +315,19 @@
         now >= self.config.goal && merged > 0 && self.reaches_least(merged)
     }
 
+    /// Whether enough shards have a back end to reach the least share.
+    fn is_reachable(&self, cx: &Context<'_>) -> bool {
+        let version = self.version();
+        let open = |shard: &&Shard<P>| {
+            let replicas = &self.routes.shards[shard.route].replicas;
+            replicas
+                .iter()
+                .any(|ix| cx.table.is_open(*ix, version, cx.now))
+        };
+        let reachable = self.shards.iter().filter(open).count();
+        reachable > 0 && self.reaches_least(reachable)
+    }
+
     /// Whether the least share is in and all that is missing would have to come
     /// from back ends that answer nobody. Each query still calls one of them,
     /// so that one that is back shows within a query.
