--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -132,7 +132,7 @@
         routes,
         gate,
         class,
-    } = plan(&mut lock(&shared.cell.state), &rule, &shared.settings, draw);
+    } = plan(&mut lock(&shared.cell.state), &rule, draw);
     let span = ask.left.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = start + span;
     let order = Order {
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Changes the spans, for leafs that go missing or leave from now on.
+    pub fn set_spans(&mut self, lapse: Duration, linger: Duration) {
+        self.lapse = lapse;
+        self.linger = linger;
+    }
+
     /// Leafs that are known, the missing included.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -126,7 +126,7 @@
     /// How long callers keep the list of addresses.
     #[must_use]
     pub fn ttl(&self) -> Duration {
-        self.shared.settings.times.ttl
+        lock(&self.shared.cell.state).extra.times.ttl
     }
 
     /// The entry's metrics, as text.
@@ -137,6 +137,18 @@
         self.shared.metrics.text()
     }
 
+    /// Longest time from the signal to stop to the end of the process.
+    #[must_use]
+    pub fn grace(&self) -> Duration {
+        lock(&self.shared.cell.state).extra.times.grace
+    }
+
+    /// Puts changed settings in force: the bound on extra calls and the times.
+    /// Where an entry listens, and who it is, can't change while it runs.
+    pub fn reload(&self, settings: &RelaySettings) {
+        self.shared.reload(settings.extra, settings.times);
+    }
+
     /// Requests that run.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -26,7 +26,7 @@
     metrics::Metrics,
     pass::Passed,
     pulse::Pulse,
-    settings::RelaySettings,
+    settings::{ExtraCalls, RelaySettings, Times},
     upstream::{Choice as UpstreamChoice, Upstream},
 };
 
@@ -67,6 +67,9 @@
     gates: BTreeMap<Vec<ServiceName>, GateId>,
     routes: BTreeMap<Vec<ServiceName>, Arc<Routes>>,
     pub(crate) allotment: Allotment,
+    /// What a reload of the settings changes.
+    pub(crate) extra: ExtraCalls,
+    pub(crate) times: Times,
 }
 
 pub(crate) type State = chestnut_flow::State<Ground>;
@@ -132,6 +135,8 @@
             gates: BTreeMap::new(),
             routes: BTreeMap::new(),
             allotment: Allotment::unknown(),
+            extra: settings.extra,
+            times: settings.times,
         };
         let name = ServiceName::new("relay").expect("a legal name");
         let cell = Cell::new(name, Table::new(config), gate(), ground);
@@ -183,6 +188,16 @@
         true
     }
 
+    /// Puts settings in force that may change while the entry runs.
+    pub(crate) fn reload(&self, extra: ExtraCalls, times: Times) {
+        let mut state = lock(&self.cell.state);
+        let state = &mut *state;
+        state.extra.extra = extra;
+        state.extra.times = times;
+        state.extra.leafs.set_spans(times.lapse(), times.linger());
+        set_budgets(state);
+    }
+
     /// Sets what this entry may use of what all share.
     pub(crate) fn allot(&self, allotment: Allotment) {
         let mut state = lock(&self.cell.state);
@@ -191,17 +206,24 @@
             return;
         }
         state.extra.allotment = allotment;
-        let slack = allotment.slack(&self.settings.extra);
-        for id in state.extra.purses.values() {
-            if let Purse::Joint(budget) = state.table.purse(*id) {
-                budget.set_burst(slack);
-            }
-        }
+        set_budgets(state);
         info!(self.host.log, "fleet: {} carriers, {} others", allotment.carriers, allotment.others;
             "this" => format!("{:?}", allotment.part));
     }
 }
 
+/// Sets all budgets by the bound on extra calls and this entry's part of it.
+fn set_budgets(state: &mut State) {
+    let extra = state.extra.extra;
+    let slack = state.extra.allotment.slack(&extra);
+    for id in state.extra.purses.values() {
+        if let Purse::Joint(budget) = state.table.purse(*id) {
+            budget.set_share(extra.share());
+            budget.set_burst(slack);
+        }
+    }
+}
+
 fn gate() -> Admission {
     Admission::new(AdmitConfig {
         initial: RUNNING_MAX,
@@ -271,7 +293,7 @@
 }
 
 /// Finds where a request of `rule` goes now.
-pub(crate) fn plan(state: &mut State, rule: &Rule, own: &RelaySettings, draw: u64) -> Plan {
+pub(crate) fn plan(state: &mut State, rule: &Rule, draw: u64) -> Plan {
     let class = class_of(state, rule);
     let services = match &rule.target {
         Target::One(service) => vec![service.clone()],
@@ -281,7 +303,7 @@
     let routes = match state.extra.routes.get(&services) {
         Some(routes) => routes.clone(),
         None => {
-            let routes = Arc::new(find_routes(state, &services, own));
+            let routes = Arc::new(find_routes(state, &services));
             state.extra.routes.insert(services.clone(), routes.clone());
             routes
         }
@@ -323,13 +345,13 @@
     parts[at.unwrap_or(0)].0.clone()
 }
 
-fn find_routes(state: &mut State, services: &[ServiceName], own: &RelaySettings) -> Routes {
+fn find_routes(state: &mut State, services: &[ServiceName]) -> Routes {
     let shards = services
         .iter()
         .map(|service| Route {
             name: ShardName::new(service.as_str()).expect("the same characters are legal"),
             replicas: replicas(state, service),
-            purse: purse_of(state, service, own),
+            purse: purse_of(state, service),
         })
         .collect();
     Routes {
@@ -350,12 +372,13 @@
         .collect()
 }
 
-fn purse_of(state: &mut State, service: &ServiceName, own: &RelaySettings) -> PurseId {
+fn purse_of(state: &mut State, service: &ServiceName) -> PurseId {
     if let Some(id) = state.extra.purses.get(service) {
         return *id;
     }
-    let mut budget = Budget::empty(own.extra.share(), 1);
-    budget.set_burst(state.extra.allotment.slack(&own.extra));
+    let extra = state.extra.extra;
+    let mut budget = Budget::empty(extra.share(), 1);
+    budget.set_burst(state.extra.allotment.slack(&extra));
     let id = state.table.add_purse(Purse::Joint(budget));
     state.extra.purses.insert(service.clone(), id);
     id
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Changes the share of first calls; what is saved up stays.
+    pub fn set_share(&mut self, share: Share) {
+        self.share = share.as_f64();
+    }
+
     /// Changes how many calls may be saved up; what is above is lost.
     pub fn set_burst(&mut self, burst: f64) {
         self.burst = burst;
