--- a/crates/book/src/book.rs
+++ b/crates/book/src/book.rs
@@ -51,7 +51,7 @@
 /// One version of the routes. A request keeps the book that it was decided by
 /// until its end, so that all its parts come from the shards of one version.
 #[derive(Clone, Debug, Default)]
-pub struct Book {
+pub struct RouteBook {
     /// Its version.
     pub version: BookVersion,
     /// Bounds on what callers may send.
@@ -60,7 +60,7 @@
     services: BTreeMap<ServiceName, ServiceRule>,
 }
 
-impl Book {
+impl RouteBook {
     /// Checks the rules and makes a book of them.
     ///
     /// # Errors
@@ -141,7 +141,7 @@
     services: BTreeMap<ServiceName, ServiceRule>,
 }
 
-impl Serialize for Book {
+impl Serialize for RouteBook {
     fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
         let plain = Plain {
             version: self.version,
@@ -153,7 +153,7 @@
     }
 }
 
-impl<'de> Deserialize<'de> for Book {
+impl<'de> Deserialize<'de> for RouteBook {
     fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
         let plain = Plain::<Rule>::deserialize(from)?;
         Self::build(plain.version, plain.rules, plain.services, plain.limits)
--- a/crates/book/src/lib.rs
+++ b/crates/book/src/lib.rs
@@ -1,17 +1,17 @@
 //! The route book: what becomes of a forwarded request.
 //!
-//! A [`Book`] is one version of the operator's routes. [`Book::find`] selects
+//! A [`RouteBook`] is one version of the operator's routes. [`RouteBook::find`] selects
 //! the rule of a request by host and longest path prefix; the rule says whether
 //! the request may be repeated, how long it may take and where it goes: to one
 //! service, to one of several by weight ([`Turns`]), or to every shard of a set,
 //! whose records [`greatest`] merges.
 //!
 //! It is not for reading books from anywhere: adapters decode them and call
-//! [`Book::build`], which checks them.
+//! [`RouteBook::build`], which checks them.
 //!
 //! ```
 //! use std::time::Duration;
-//! use chestnut_book::{Book, BookVersion, Kind, Rule, Target};
+//! use chestnut_book::{RouteBook, BookVersion, Kind, Rule, Target};
 //! use chestnut_unit::ServiceName;
 //!
 //! let rule = Rule {
@@ -25,7 +25,7 @@
 //!     rank: 2,
 //!     target: Target::One(ServiceName::new("archive").unwrap()),
 //! };
-//! let book = Book::build(BookVersion(1), vec![rule], [], Default::default()).unwrap();
+//! let book = RouteBook::build(BookVersion(1), vec![rule], [], Default::default()).unwrap();
 //! assert!(book.find("league.example", "/archive/1994").is_some());
 //! assert!(book.find("league.example", "/ladder/").is_none());
 //! ```
@@ -36,7 +36,7 @@
 mod rule;
 mod turns;
 
-pub use book::{Book, BookError, BookVersion};
+pub use book::{BookError, BookVersion, RouteBook};
 pub use merge::{RECORD, greatest};
 pub use rule::{CallerLimits, Kind, Rule, ServiceRule, Target};
 pub use turns::Turns;
--- a/crates/book/tests/book.rs
+++ b/crates/book/tests/book.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chestnut_book::{Book, BookError, BookVersion, CallerLimits, Kind, Rule, Target};
+use chestnut_book::{BookError, BookVersion, CallerLimits, Kind, RouteBook, Rule, Target};
 use chestnut_unit::{ServiceName, Share};
 use rstest::rstest;
 
@@ -24,8 +24,8 @@
     }
 }
 
-fn book(rules: Vec<Rule>) -> Result<Book, BookError> {
-    Book::build(BookVersion(1), rules, [], CallerLimits::default())
+fn book(rules: Vec<Rule>) -> Result<RouteBook, BookError> {
+    RouteBook::build(BookVersion(1), rules, [], CallerLimits::default())
 }
 
 #[rstest]
@@ -102,7 +102,7 @@
     ];
     let sent = book(rules).unwrap();
     let json = serde_json::to_string(&sent).unwrap();
-    let read: Book = serde_json::from_str(&json).unwrap();
+    let read: RouteBook = serde_json::from_str(&json).unwrap();
     assert_eq!(read.version, sent.version);
     assert!(read.rules().eq(sent.rules()));
     assert_eq!(read.limits, sent.limits);
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -3,13 +3,14 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bytes::Bytes;
 use chestnut_conf::{Kind, ObjectKey};
 use chestnut_port::{Clock, PlatformError};
+use chestnut_unit::lock;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
 use hyper_util::{
@@ -107,10 +108,6 @@
     }
 }
 
-fn lock(store: &Mutex<Store>) -> MutexGuard<'_, Store> {
-    store.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 async fn accept(listener: TcpListener, inner: Arc<Inner>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/fake/src/target/calls.rs
+++ b/crates/fake/src/target/calls.rs
@@ -3,14 +3,14 @@
 use std::{sync::atomic::Ordering, time::Duration};
 
 use bytes::Bytes;
-use chestnut_unit::{IndexVersion, ShardName};
+use chestnut_unit::{IndexVersion, ShardName, lock};
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, value::RawValue};
 use tokio::time::sleep;
 
-use super::{Inner, LEAVE_GRACE, Reply, lock};
+use super::{Inner, LEAVE_GRACE, Reply};
 
 pub(super) async fn handle(inner: &Inner, request: Request<Incoming>) -> Reply {
     let path = request.uri().path().to_owned();
--- a/crates/fake/src/target/mod.rs
+++ b/crates/fake/src/target/mod.rs
@@ -7,14 +7,14 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
 
 use bytes::Bytes;
-use chestnut_unit::{IndexVersion, LeafId, ShardName};
+use chestnut_unit::{IndexVersion, LeafId, ShardName, lock};
 use http_body_util::Full;
 use hyper::{Response, service::service_fn};
 use hyper_util::{
@@ -220,10 +220,6 @@
     }
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Inner {
     fn change(&self, change: impl FnOnce(&mut TargetConfig)) {
         self.config.send_modify(change);
--- a/crates/flow/src/host.rs
+++ b/crates/flow/src/host.rs
@@ -1,9 +1,6 @@
 //! What every task of an entry needs: log, clock and random draws.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicU64, Ordering},
-};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use chestnut_port::Clock;
 use chestnut_unit::Time;
@@ -60,9 +57,3 @@
         ChaCha8Rng::seed_from_u64(self.seed.wrapping_add(draw))
     }
 }
-
-/// Locks a table. A task that panicked while holding it broke an invariant and
-/// has ended; the tables hold counts and maps that stay usable for others.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -14,6 +14,7 @@
 mod host;
 
 pub use cell::{Cell, GateId, State};
+pub use chestnut_unit::lock;
 pub use fanout::{Calls, Flying, Parts, Start, run};
 pub use gate::{Running, admit};
-pub use host::{Host, Trace, lock};
+pub use host::{Host, Trace};
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -27,7 +27,6 @@
 }
 
 /// Opens the log as the settings say.
-#[must_use]
 pub fn open(settings: &LogSettings, output: Output) -> Logger {
     let level = match settings.level {
         LogLevel::Error => Level::Error,
--- a/crates/port/src/exchange.rs
+++ b/crates/port/src/exchange.rs
@@ -4,12 +4,12 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bytes::Bytes;
-use chestnut_unit::{LeafId, Time};
+use chestnut_unit::{LeafId, Time, lock};
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
@@ -317,7 +317,3 @@
     });
     stated.map(Duration::from_secs)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/port/src/target_http.rs
+++ b/crates/port/src/target_http.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     time::Duration,
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use chestnut_route::{ConnId, Failure, PATIENCE, Pick, Pool, Refusal};
-use chestnut_unit::LeafId;
+use chestnut_unit::{LeafId, lock};
 use futures::{FutureExt, future::BoxFuture};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, body::Incoming, client::conn::http2};
@@ -397,12 +397,6 @@
     Some(open.sender.clone())
 }
 
-/// Locks a table. A panic while it was held is a broken invariant that has
-/// ended its task already; the data are counts and handles that stay usable.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn post(leaf: &LeafConns, path: &str, body: Vec<u8>) -> Result<Request<Full<Bytes>>, Failure> {
     Request::post(format!("http://{}{path}", leaf.address))
         .header("content-type", "application/json")
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -5,7 +5,7 @@
     sync::{Arc, Mutex, atomic::Ordering},
 };
 
-use chestnut_book::Book;
+use chestnut_book::RouteBook;
 use chestnut_flow::{Calls, Flying, Parts, Start, lock};
 use chestnut_port::{LeafCall, LeafFailure, LeafReply, Message};
 use chestnut_route::{Eviction, Failure};
@@ -19,7 +19,7 @@
 /// A forwarded request and what its calls brought beside answers.
 pub(crate) struct Forwarded<'a> {
     pub(crate) shared: &'a Shared,
-    pub(crate) book: &'a Book,
+    pub(crate) book: &'a RouteBook,
     pub(crate) message: Arc<Message>,
     /// The last failure that a leaf answered with, to pass on if nothing
     /// better comes.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,10 +6,10 @@
 };
 
 use bytes::Bytes;
-use chestnut_book::{Book, Kind, Rule, Target, greatest};
+use chestnut_book::{Kind, RouteBook, Rule, Target, greatest};
 use chestnut_flow::{Running, admit, lock, run};
 use chestnut_port::{LeafReply, Message};
-use chestnut_route::{End, Give, Order, Query, QueryConfig, Repeat, Yields};
+use chestnut_route::{End, Give, Ix, Order, Query, QueryConfig, Repeat, Yields};
 use chestnut_unit::{Coverage, Reason, Run, Share, Time, Urgency};
 use hyper::header::HeaderValue;
 use rand::Rng;
@@ -91,6 +91,8 @@
     version: u64,
     calls: usize,
     coverage: Option<Coverage>,
+    /// Leafs that were called for shards which are missing.
+    in_vain: String,
 }
 
 /// Takes a request through the request path.
@@ -102,6 +104,7 @@
         version: 0,
         calls: 0,
         coverage: None,
+        in_vain: String::new(),
     };
     let reply = decide(shared, &ask, start, &mut account)
         .await
@@ -159,12 +162,13 @@
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
     account.calls = query.calls();
     account.coverage = Some(query.coverage());
+    account.in_vain = names(shared, &query.in_vain());
     finish(running, &query);
     let failed = lock(&forwarded.failed).take();
     reply(&rule, query, failed)
 }
 
-fn forwarded<'a>(shared: &'a Shared, book: &'a Book, ask: &Ask) -> Forwarded<'a> {
+fn forwarded<'a>(shared: &'a Shared, book: &'a RouteBook, ask: &Ask) -> Forwarded<'a> {
     Forwarded {
         shared,
         book,
@@ -173,6 +177,14 @@
     }
 }
 
+/// The names of leafs, for the log.
+fn names(shared: &Shared, leafs: &[Ix]) -> String {
+    let state = lock(&shared.cell.state);
+    let places = leafs.iter().filter_map(|ix| state.extra.places.get(ix));
+    let names: Vec<&str> = places.map(|place| place.leaf.as_str()).collect();
+    names.join(" ")
+}
+
 /// Gives back the place of a request that ran.
 fn finish(mut running: Running<'_, Ground>, query: &Query<LeafReply>) {
     running.calls = query.calls() as u32;
@@ -276,7 +288,7 @@
     info!(shared.host.log, "forward: {outcome}";
         "request" => &ask.message.id, "rule" => rule, "book" => account.version,
         "left_ms" => ask.left.map(|left| left.as_millis() as u64),
-        "calls" => account.calls, "missing" => missing, "run" => run,
+        "calls" => account.calls, "missing" => missing, "in_vain" => &account.in_vain, "run" => run,
         "ms" => span.as_secs_f64() * 1e3);
 }
 
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use chestnut_book::Book;
+use chestnut_book::RouteBook;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, FeedError, FeedService, Item, RawBatch};
 use chestnut_unit::LeafId;
@@ -22,7 +22,7 @@
 
 /// What is passed on.
 pub(crate) struct Passed {
-    pub(crate) book: Mutex<Mirror<Book>>,
+    pub(crate) book: Mutex<Mirror<RouteBook>>,
     pub(crate) leafs: Mutex<Mirror<(LeafId, LeafEntry)>>,
     /// Raised with every answer of a feed.
     pub(crate) told: watch::Sender<u64>,
@@ -47,7 +47,7 @@
     fn tell(
         &self,
         feed: &str,
-        book: impl Fn(&Mirror<Book>) -> Result<Batch<Book>, FeedError>,
+        book: impl Fn(&Mirror<RouteBook>) -> Result<Batch<RouteBook>, FeedError>,
         leafs: impl Fn(&Mirror<(LeafId, LeafEntry)>) -> Result<Batch<(LeafId, LeafEntry)>, FeedError>,
     ) -> Result<RawBatch, FeedError> {
         self.pulse()?;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use chestnut_book::{Book, CallerLimits};
+use chestnut_book::{CallerLimits, RouteBook};
 use chestnut_flow::{Host, lock};
 use chestnut_port::{Feed, FeedService, Forward, Probes};
 use chestnut_unit::LeafId;
@@ -35,7 +35,7 @@
 /// The ports that a relay runs over.
 pub struct RelayPorts {
     /// The book, in the store.
-    pub book: Arc<dyn Feed<Book>>,
+    pub book: Arc<dyn Feed<RouteBook>>,
     /// The leafs, in the store.
     pub leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
     /// The feeds of other entries.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -9,7 +9,7 @@
     },
 };
 
-use chestnut_book::{Book, Rule, Target, Turns};
+use chestnut_book::{RouteBook, Rule, Target, Turns};
 use chestnut_flow::{Cell, GateId, Host, lock};
 use chestnut_port::Forward;
 use chestnut_route::{
@@ -59,7 +59,7 @@
 /// What the relay keeps beside the table.
 #[derive(Debug)]
 pub(crate) struct Ground {
-    pub(crate) book: Option<Arc<Book>>,
+    pub(crate) book: Option<Arc<RouteBook>>,
     pub(crate) leafs: Leafs,
     pub(crate) places: BTreeMap<Ix, Place>,
     rules: BTreeMap<String, RuleState>,
@@ -178,7 +178,7 @@
     }
 
     /// Takes a book, unless a newer one is known.
-    pub(crate) fn take_book(&self, book: Book) -> bool {
+    pub(crate) fn take_book(&self, book: RouteBook) -> bool {
         let mut state = lock(&self.cell.state);
         let known = state.extra.book.as_ref().map(|book| book.version);
         if known.is_some_and(|known| known >= book.version) {
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use chestnut_book::Book;
+use chestnut_book::RouteBook;
 use chestnut_flow::lock;
 use chestnut_port::{Feed, FeedNet};
 use chestnut_unit::{LeafId, Time};
@@ -24,14 +24,14 @@
 /// The port to the feeds of other entries.
 pub trait FeedPeers: Send + Sync {
     /// The book, as the entry at `to` hears it.
-    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<Book>>;
+    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<RouteBook>>;
 
     /// The leafs, as the entry at `to` hears them.
     fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<(LeafId, LeafEntry)>>;
 }
 
 impl FeedPeers for FeedNet {
-    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<Book>> {
+    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<RouteBook>> {
         Arc::new(self.feed(to, BOOK))
     }
 
@@ -42,13 +42,13 @@
 
 /// The feeds of the store and of other entries.
 pub(crate) struct Sources {
-    pub(crate) book: Arc<dyn Feed<Book>>,
+    pub(crate) book: Arc<dyn Feed<RouteBook>>,
     pub(crate) leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
     pub(crate) peers: Arc<dyn FeedPeers>,
 }
 
 impl Sources {
-    pub(crate) fn book(&self, from: Upstream) -> Arc<dyn Feed<Book>> {
+    pub(crate) fn book(&self, from: Upstream) -> Arc<dyn Feed<RouteBook>> {
         match from {
             Upstream::Store => self.book.clone(),
             Upstream::Peer(peer) => self.peers.book(peer),
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chestnut_book::Book;
+use chestnut_book::RouteBook;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
@@ -33,7 +33,7 @@
 
 /// Follows the book for as long as the entry runs.
 pub(crate) async fn book(shared: Arc<Shared>, sources: Arc<Sources>) {
-    let take = |batch: Batch<Book>, whole| {
+    let take = |batch: Batch<RouteBook>, whole| {
         lock(&shared.passed.book).take(&batch, whole);
         take_book(&shared, batch);
     };
@@ -152,7 +152,7 @@
     }
 }
 
-fn take_book(shared: &Shared, batch: Batch<Book>) {
+fn take_book(shared: &Shared, batch: Batch<RouteBook>) {
     for item in batch.items {
         let Some(book) = item.value else {
             warn!(
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use chestnut_book::{Kind, Target};
 use chestnut_relay::{LeafState, Reply, Why};
 use chestnut_unit::Run;
@@ -13,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout};
 use world::{Manner, Stage, ask, book, entry, gather, missing, name, record, rule};
 
-fn one(kind: Kind) -> chestnut_book::Book {
+fn one(kind: Kind) -> chestnut_book::RouteBook {
     book(1, vec![rule("/a/", kind, Target::One(name("archive")))])
 }
 
@@ -255,7 +254,7 @@
     assert_eq!(declined.why, Why::NoRule);
     sleep(Duration::from_millis(1)).await;
     assert!(
-        matches!(relay.forward(ask("r", "/a/x")).await, Reply::Whole(r) if *r.answer.body() == Bytes::from(record("archive")))
+        matches!(relay.forward(ask("r", "/a/x")).await, Reply::Whole(r) if r.answer.body() == &record("archive"))
     );
 }
 
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep};
 use world::{Answers, Got, Stage, ask, book, entry, name, rule};
 
-fn one(version: u64) -> chestnut_book::Book {
+fn one(version: u64) -> chestnut_book::RouteBook {
     let target = Target::One(name("archive"));
     book(version, vec![rule("/a/", Kind::Idempotent, target)])
 }
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -72,8 +72,7 @@
     let members: Vec<Member> = (1..=3).map(|n| member(n, "dub-a", 600)).collect();
     let (own, others) = (&members[2], &members[..2]);
     let mut choice = UpstreamChoice::default();
-    let mut ask =
-        |choice: &mut UpstreamChoice, now| choice.choose(own, others.iter(), &[], OLD, now);
+    let ask = |choice: &mut UpstreamChoice, now| choice.choose(own, others.iter(), &[], OLD, now);
     let Upstream::Peer(first) = ask(&mut choice, Time::ZERO) else {
         panic!("nobody to follow");
     };
@@ -152,7 +151,7 @@
     assert_eq!(since(9), Err(FeedError::HistoryGone));
 }
 
-fn one(version: u64, prefix: &str) -> chestnut_book::Book {
+fn one(version: u64, prefix: &str) -> chestnut_book::RouteBook {
     let target = Target::One(name("archive"));
     book(version, vec![rule(prefix, Kind::Idempotent, target)])
 }
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::Bytes;
-use chestnut_book::{Book, BookVersion, CallerLimits, Kind, Rule, ServiceRule, Target};
+use chestnut_book::{BookVersion, CallerLimits, Kind, RouteBook, Rule, ServiceRule, Target};
 use chestnut_fleet::Probe;
 use chestnut_flow::{Host, Trace, lock};
 use chestnut_port::{
@@ -46,7 +46,7 @@
 #[derive(Default)]
 struct Stored {
     revision: u64,
-    book: Option<(u64, Book)>,
+    book: Option<(u64, RouteBook)>,
     leafs: BTreeMap<LeafId, (u64, LeafEntry)>,
     gone: Vec<(u64, LeafId)>,
     adverts: BTreeMap<MemberId, Advert>,
@@ -64,7 +64,7 @@
 }
 
 impl FakeStore {
-    pub fn put_book(&self, book: Book) {
+    pub fn put_book(&self, book: RouteBook) {
         let mut stored = lock(&self.stored);
         stored.revision += 1;
         stored.book = Some((stored.revision, book));
@@ -155,12 +155,12 @@
     }
 }
 
-impl Feed<Book> for FakeStore {
-    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<Book>, FeedError>> {
+impl Feed<RouteBook> for FakeStore {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
         async move {
             self.check().await?;
             let stored = lock(&self.stored);
-            let item = |(_, book): &(u64, Book)| Item {
+            let item = |(_, book): &(u64, RouteBook)| Item {
                 name: "main".to_owned(),
                 value: Some(book.clone()),
             };
@@ -180,7 +180,11 @@
         .boxed()
     }
 
-    fn watch(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<Book>, FeedError>> {
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
         async move {
             self.check().await?;
             let find = |stored: &Stored| {
@@ -230,7 +234,7 @@
     }
 
     fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
-        Feed::<Book>::pulse(self)
+        Feed::<RouteBook>::pulse(self)
     }
 
     fn watch(
@@ -248,7 +252,7 @@
                     name: id.to_string(),
                     value: None,
                 }));
-                (!items.is_empty()).then(|| Batch {
+                (!items.is_empty()).then_some(Batch {
                     items,
                     revision: stored.revision,
                 })
@@ -465,7 +469,7 @@
 }
 
 impl FeedPeers for FakeFeeds {
-    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<Book>> {
+    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<RouteBook>> {
         Arc::new(FakePeerFeed(self.clone(), to, "book"))
     }
 
@@ -637,7 +641,7 @@
     }
 }
 
-pub fn book(version: u64, rules: Vec<Rule>) -> Book {
+pub fn book(version: u64, rules: Vec<Rule>) -> RouteBook {
     let services: Vec<ServiceName> = rules
         .iter()
         .flat_map(|rule| rule.target.services().cloned())
@@ -646,7 +650,7 @@
         .into_iter()
         .map(|service| (service, ServiceRule { connections: 40 }));
     let limits = CallerLimits::default();
-    Book::build(BookVersion(version), rules, services, limits).unwrap()
+    RouteBook::build(BookVersion(version), rules, services, limits).unwrap()
 }
 
 pub fn ask(id: &str, path: &'static str) -> Ask {
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -420,6 +420,15 @@
         Coverage::from_merged(&asked, &merged)
     }
 
+    /// Back ends that were called for shards which have no part, in order.
+    #[must_use]
+    pub fn in_vain(&self) -> Vec<Ix> {
+        let missing = self.shards.iter().filter(|shard| shard.part.is_none());
+        missing
+            .flat_map(|shard| shard.tried.iter().copied())
+            .collect()
+    }
+
     /// The merged parts with their positions in the pinned routes, in order.
     pub fn into_parts(self) -> impl Iterator<Item = (usize, P)> {
         self.shards
--- a/crates/scene/src/links.rs
+++ b/crates/scene/src/links.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
@@ -16,6 +16,7 @@
     Dispatch, PeerError, PeerService, Peers, Probes, SubAnswer, SubQuery, Submission, SubmitReply,
 };
 use chestnut_route::Failure;
+pub(crate) use chestnut_unit::lock;
 use chestnut_unit::{Incarnation, LeafId};
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{
@@ -28,10 +29,6 @@
 /// Longest wait for calls that state no deadline.
 const CONTROL_WAIT: Duration = Duration::from_secs(2);
 
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Whether a process runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Pulse {
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod coverage;
 mod id;
+mod lock;
 mod reason;
 mod share;
 mod size;
@@ -28,6 +29,7 @@
     CallType, DomainName, Incarnation, LeafId, MemberId, NameError, OrgName, RequestId,
     ServiceName, ShardName, TemplateName,
 };
+pub use lock::lock;
 pub use reason::{Reason, Run};
 pub use share::{Share, ShareError};
 pub use size::{ByteSize, Rate, UnitError, parse_span};
