Use leafs again that come back, and check watches that follow a change

Now a returning entry clears the mark, nothing is taken for gone while the store is lost, and a watch that is silent about a known change is checked by a call that doesn't wait. Also: a query that started over and could call nobody hid what its first try had run, and was refused as 'not run'; found by the black-box test of a lost shard. The refusal now tells of all tries. Each has a test that failed first.

--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -3,7 +3,7 @@
 use std::{
     io,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -55,6 +55,12 @@
         self.failures = 0;
     }
 
+    /// The greatest revision that was heard.
+    #[must_use]
+    pub fn known(&self) -> u64 {
+        self.known
+    }
+
     /// Takes a failure; returns how long to rest.
     pub fn failed(&mut self, error: &FeedError, rng: &mut dyn Rng) -> Duration {
         if *error == FeedError::HistoryGone {
--- a/crates/relay/src/pulse.rs
+++ b/crates/relay/src/pulse.rs
@@ -14,8 +14,11 @@
 /// A watch whose answer was lost looks like one that waits: the connection is
 /// sound and nothing ever comes on it. Short watches would find that, but each
 /// call is paid for. The store's revision, asked for every second at a tenth of
-/// the price, shows that something changed; a watch that says nothing about a
-/// change for a while is started again from where it was.
+/// the price, shows that something changed. A watch that says nothing about a
+/// change for a while is checked by a call that doesn't wait: it tells whether
+/// the change was of another kind, or the watch is lost and is started again. A
+/// watch that is started while changes are waiting may be lost as well, so that
+/// it was started after them proves nothing.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Pulse {
     lost: Option<Time>,
@@ -53,11 +56,11 @@
         self.revision
     }
 
-    /// When a watch that has told all up to `revision`, and was started while
-    /// the store was at `started`, is to be started again.
+    /// When a watch that was asked at `asked`, and has told all up to `told`, is
+    /// to be checked.
     #[must_use]
-    pub fn overdue(&self, revision: u64, started: u64) -> Option<Time> {
-        let told = revision.max(started);
-        (self.revision > told).then(|| self.since + OVERDUE)
+    pub fn overdue(&self, told: u64, asked: Time) -> Option<Time> {
+        let since = self.since.max(asked);
+        (self.revision > told).then(|| since + OVERDUE)
     }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -263,6 +263,8 @@
     let ix = state
         .table
         .add(Backend::Leaf(id.clone()), entry.slots, since);
+    // It may have been taken for gone while its entry was missing.
+    state.table.set_leaving(ix, false, now);
     state.table.set_far(ix, entry.domain != own.entry.domain);
     let place = Place {
         leaf: id.clone(),
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -7,12 +7,13 @@
 use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
 use slog::{info, warn};
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::{
     Upstream,
     follow::{Follower, Next},
     leafs::{LeafEntry, Moved},
+    pulse::Pulse,
     shared::{Phase, Shared, take_moves},
     source::{self, Sources},
 };
@@ -21,6 +22,10 @@
 /// stores let it wait; a watch that is lost is found by the pulse and not by
 /// its end.
 const WATCH: Duration = Duration::from_secs(25);
+/// Wait of a call that only checks for changes.
+const CHECK: Duration = Duration::from_millis(1);
+/// Longest wait for its answer.
+const CHECK_WAIT: Duration = Duration::from_millis(600);
 /// Rest after a peer failed, in which another upstream is chosen.
 const PEER_REST: Duration = Duration::from_millis(20);
 /// Rest after an answer that is older than what is known, from a peer that has
@@ -65,16 +70,8 @@
             shared.metrics.count_store(what);
         }
         let source = feed(upstream);
-        let answer = tokio::select! {
-            biased;
-            answer = ask(&*source, next) => answer,
-            () = overdue(shared, next, upstream) => {
-                if *shared.upstream.borrow() == upstream {
-                    info!(shared.host.log, "watch: asking again, a change was not told";
-                        "what" => what, "next" => format!("{next:?}"));
-                }
-                continue;
-            }
+        let Some(answer) = answer(shared, &*source, &mut follower, upstream).await else {
+            continue;
         };
         match (answer, upstream) {
             (Ok(batch), _) if follower.is_old(batch.revision) => sleep(OLD_REST).await,
@@ -106,10 +103,52 @@
     }
 }
 
-async fn ask<T>(feed: &dyn Feed<T>, next: Next) -> Result<Batch<T>, FeedError> {
-    match next {
-        Next::List => feed.list(Freshness::Now).await,
-        Next::Watch(revision) => feed.watch(revision, WATCH).await,
+/// The answer to the follower's next call; `None` if the store is lost or the
+/// upstream is another now.
+async fn answer<T>(
+    shared: &Shared,
+    feed: &dyn Feed<T>,
+    follower: &mut Follower,
+    upstream: Upstream,
+) -> Option<Result<Batch<T>, FeedError>> {
+    let revision = match follower.next() {
+        Next::List => {
+            return tokio::select! {
+                biased;
+                answer = feed.list(Freshness::Now) => Some(answer),
+                () = moved(shared, upstream) => None,
+            };
+        }
+        Next::Watch(revision) => revision,
+    };
+    let mut asked = shared.now();
+    let mut watch = feed.watch(revision, WATCH);
+    loop {
+        tokio::select! {
+            biased;
+            answer = &mut watch => return Some(answer),
+            () = moved(shared, upstream) => return None,
+            () = overdue(shared, follower.known(), asked) => {}
+        }
+        if upstream == Upstream::Store {
+            shared.metrics.count_store("check");
+        }
+        let checked = timeout(CHECK_WAIT, feed.watch(follower.known(), CHECK)).await;
+        match checked {
+            // Nothing of this kind has changed: the watch may be sound.
+            Ok(Ok(batch)) if batch.items.is_empty() => {
+                follower.answered(batch.revision.max(follower.known()));
+                asked = shared.now();
+            }
+            Ok(answer) => {
+                info!(shared.host.log, "watch: a change was not told"; "revision" => revision);
+                return Some(answer);
+            }
+            Err(_) => {
+                let late = "a check of the watch gave no answer".to_owned();
+                return Some(Err(FeedError::Unavailable(late)));
+            }
+        }
     }
 }
 
@@ -124,21 +163,23 @@
         .await;
 }
 
-/// Waits until a call is not to be waited for any longer: the store is lost, or
-/// has changed and the call did not tell, or the upstream is another now.
-async fn overdue(shared: &Shared, next: Next, from: Upstream) {
+/// Waits until the store is lost, or the upstream is another.
+async fn moved(shared: &Shared, from: Upstream) {
     let mut upstreams = shared.upstream.subscribe();
     let mut pulses = shared.pulse.subscribe();
-    let started = pulses.borrow().revision();
+    tokio::select! {
+        // An error means that the entry ends.
+        _ = upstreams.wait_for(|upstream| *upstream != from) => {}
+        _ = pulses.wait_for(Pulse::is_lost) => {}
+    }
+}
+
+/// Waits until a watch that was asked at `asked`, and has told all up to `told`,
+/// is to be checked.
+async fn overdue(shared: &Shared, told: u64, asked: Time) {
+    let mut pulses = shared.pulse.subscribe();
     loop {
-        let pulse = *pulses.borrow_and_update();
-        if pulse.is_lost() || *upstreams.borrow_and_update() != from {
-            return;
-        }
-        let until = match next {
-            Next::Watch(revision) => pulse.overdue(revision, started),
-            Next::List => None,
-        };
+        let until = pulses.borrow_and_update().overdue(told, asked);
         if until.is_some_and(|until| until <= shared.now()) {
             return;
         }
@@ -146,7 +187,6 @@
         tokio::select! {
             // An error means that the entry ends.
             _ = pulses.changed() => {}
-            _ = upstreams.changed() => {}
             () = sleep_until(wake) => {}
         }
     }
@@ -211,13 +251,19 @@
 
 /// Gives up missing leafs in time.
 async fn lapses(shared: &Shared) {
-    /// Time between two looks while no leaf is missing.
+    /// Time between two looks while no leaf is missing, or the store is lost.
     const LOOK: Duration = Duration::from_millis(500);
     loop {
         let now = shared.now();
         let wake = lock(&shared.cell.state).extra.leafs.wake();
-        if wake > now {
-            let wake = wake.min(now + LOOK);
+        // An entry that has lost the store can't see lapsed entries come back.
+        let lost = shared.pulse.borrow().is_lost();
+        if lost || wake > now {
+            let wake = if lost {
+                now + LOOK
+            } else {
+                wake.min(now + LOOK)
+            };
             sleep_until(shared.host.clock.instant(wake)).await;
             continue;
         }
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -87,3 +87,78 @@
     sleep(Duration::from_millis(2500)).await;
     assert_eq!(calls_now(&stage, &relay, &leafs[0]).await, 0);
 }
+
+/// A leaf that left gets calls until something else changes in the store.
+/// It leaves while the store is silent; when the store is back the entry asks
+/// for changes, and that call is lost on a connection that stays silent. The
+/// change is older than the call, so the call alone proves nothing: it is
+/// checked like any other.
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_is_lost_after_the_change_is_started_again() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    sleep(Duration::from_secs(2)).await;
+    stage.store.answers(Answers::Never);
+    let draining = entry("archive", LeafState::Draining);
+    stage.store.put_leaf(&leafs[0], draining);
+    sleep(Duration::from_millis(2900)).await;
+    stage.store.answers(Answers::Yes);
+    stage.store.lose_watches(2);
+    sleep(Duration::from_secs(6)).await;
+    assert_eq!(calls_now(&stage, &relay, &leafs[0]).await, 0);
+}
+
+/// A service has no leaf for this entry although all of them are listed.
+/// Their entries lapsed with the store; the entry could not see them come back
+/// in time and took them for gone. When it does see them, under the same ids,
+/// they take work again.
+#[tokio::test(start_paused = true)]
+async fn a_leaf_that_was_taken_for_gone_may_come_back() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 1, 10);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    stage.store.drop_leaf(&leafs[0]);
+    sleep(Duration::from_secs(5)).await;
+    assert!(matches!(
+        relay.forward(ask("r", "/a/x")).await,
+        Reply::Declined(_)
+    ));
+    stage.add_leafs("archive", 1, 10);
+    sleep(Duration::from_secs(1)).await;
+    assert!(matches!(
+        relay.forward(ask("r", "/a/x")).await,
+        Reply::Whole(_)
+    ));
+}
+
+/// Callers of an entry that is cut off from the store find no leafs.
+/// All entries lapsed in an outage, and the entry lost the store again before
+/// it could see them come back. While it can't see, it takes none for gone.
+#[tokio::test(start_paused = true)]
+async fn missing_leafs_are_kept_while_the_store_is_lost() {
+    let stage = Stage::default();
+    let leafs = stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    sleep(Duration::from_secs(2)).await;
+    for leaf in &leafs {
+        stage.store.drop_leaf(leaf);
+    }
+    sleep(Duration::from_millis(900)).await;
+    stage.store.answers(Answers::Never);
+    stage.add_leafs("archive", 2, 10);
+    sleep(Duration::from_secs(10)).await;
+    assert!(matches!(
+        relay.forward(ask("r", "/a/x")).await,
+        Reply::Whole(_)
+    ));
+    stage.store.answers(Answers::Yes);
+    sleep(Duration::from_secs(4)).await;
+    assert!(matches!(
+        relay.forward(ask("s", "/a/x")).await,
+        Reply::Whole(_)
+    ));
+}
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -53,6 +53,8 @@
     silent: bool,
     /// Raised by each silence; a watch from before it never answers.
     silences: u64,
+    /// Watches to come whose answers vanish.
+    lost: usize,
     calls: u64,
 }
 
@@ -95,6 +97,11 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the answers of the next watches vanish, though the store is there.
+    pub fn lose_watches(&self, count: usize) {
+        lock(&self.stored).lost = count;
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.stored).calls
@@ -128,6 +135,15 @@
         none: impl Fn(&Stored) -> T,
     ) -> T {
         let end = Instant::now() + wait;
+        let lost = {
+            let mut stored = lock(&self.stored);
+            let lost = stored.lost > 0;
+            stored.lost = stored.lost.saturating_sub(1);
+            lost
+        };
+        if lost {
+            return futures::future::pending().await;
+        }
         let silences = lock(&self.stored).silences;
         loop {
             let changed = self.changed.notified();
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -225,10 +225,12 @@
             goal_seen: false,
             stuck: true,
         };
-        if !query.is_reachable(cx) {
+        let closed = query.closed(cx);
+        let open = query.shards.len() - closed.len();
+        if open == 0 || !query.reaches_least(open) {
             // Calls that are cancelled at once may still have been sent; with
             // none the refusal can say that nothing ran.
-            query.end = Some(End::Partial(Give::NoReplica));
+            query.end = Some(End::Partial(query.why(&closed, cx)));
             return query;
         }
         let every: Vec<usize> = (0..query.shards.len()).collect();
@@ -315,17 +317,15 @@
         now >= self.config.goal && merged > 0 && self.reaches_least(merged)
     }
 
-    /// Whether enough shards have a back end to reach the least share.
-    fn is_reachable(&self, cx: &Context<'_>) -> bool {
+    /// Shards without any back end that may be called.
+    fn closed(&self, cx: &Context<'_>) -> Vec<usize> {
         let version = self.version();
-        let open = |shard: &&Shard<P>| {
-            let replicas = &self.routes.shards[shard.route].replicas;
-            replicas
-                .iter()
-                .any(|ix| cx.table.is_open(*ix, version, cx.now))
+        let is_closed = |position: &usize| {
+            let route = self.shards[*position].route;
+            let mut replicas = self.routes.shards[route].replicas.iter();
+            !replicas.any(|ix| cx.table.is_open(*ix, version, cx.now))
         };
-        let reachable = self.shards.iter().filter(open).count();
-        reachable > 0 && self.reaches_least(reachable)
+        (0..self.shards.len()).filter(is_closed).collect()
     }
 
     /// Whether the least share is in and all that is missing would have to come
--- a/crates/tier/src/query.rs
+++ b/crates/tier/src/query.rs
@@ -202,11 +202,12 @@
             "request" => subject.request.0, "why" => policy.urgency.as_str());
     }
     let config = QueryConfig::new(deadline, policy.least);
-    let query = fan_out(shared, &service, ask, subject, config, &mut running).await?;
+    let Fanned { query, run } =
+        fan_out(shared, &service, ask, subject, config, &mut running).await?;
     drop(running);
     let coverage = query.coverage();
     if !coverage.reaches(policy.least) {
-        return Err(why_short(&query));
+        return Err(why_short(&query, run));
     }
     let answer = Answer {
         request: subject.request,
@@ -219,6 +220,13 @@
     Ok((answer, policy.urgency))
 }
 
+/// The best query of a request, and what ran of all that it made. A later one
+/// that made no call must not hide what an earlier one ran.
+struct Fanned {
+    query: Query<Bytes>,
+    run: Run,
+}
+
 /// Runs the query, on another snapshot if the pinned one goes away.
 async fn fan_out(
     shared: &Shared,
@@ -227,7 +235,7 @@
     subject: &Subject,
     config: QueryConfig,
     running: &mut Running<'_, Placed>,
-) -> Result<Query<Bytes>, Why> {
+) -> Result<Fanned, Why> {
     let asked = Ask {
         shared,
         service,
@@ -235,6 +243,7 @@
         body: ask.body.clone(),
     };
     let mut best: Option<Query<Bytes>> = None;
+    let mut unrun = true;
     for _ in 0..=RESTARTS {
         let Some(routes) = pin(shared, service) else {
             break;
@@ -242,6 +251,7 @@
         let query = run(&shared.host, service, &asked, routes, None, config).await;
         running.calls += query.calls() as u32;
         running.sheds += query.sheds();
+        unrun &= query.not_run().is_some();
         let lost = query.end() == Some(End::Partial(Give::SnapshotLost));
         let better = best
             .as_ref()
@@ -255,7 +265,10 @@
         debug!(shared.host.log, "retry: the snapshot is gone, starting over";
             "request" => subject.request.0);
     }
-    best.ok_or_else(|| Why::not_run(Reason::NoSnapshot, "no index version has a live leaf"))
+    let query =
+        best.ok_or_else(|| Why::not_run(Reason::NoSnapshot, "no index version has a live leaf"))?;
+    let run = if unrun { Run::NotRun } else { Run::Partial };
+    Ok(Fanned { query, run })
 }
 
 fn pin(shared: &Shared, service: &Service) -> Option<Arc<Routes>> {
@@ -265,12 +278,8 @@
 }
 
 /// Why an answer does not cover enough.
-fn why_short(query: &Query<Bytes>) -> Why {
+fn why_short(query: &Query<Bytes>, run: Run) -> Why {
     let coverage = query.coverage();
-    let run = match query.not_run() {
-        Some(_) => Run::NotRun,
-        None => Run::Partial,
-    };
     let reason = match query.end() {
         Some(End::Partial(Give::Deadline)) => Reason::Deadline,
         _ if run == Run::NotRun => Reason::TargetRefused,
