--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -7,6 +7,7 @@
         Arc, Mutex,
         atomic::{AtomicU32, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use chestnut_book::{RouteBook, Rule, Target, Turns};
@@ -77,6 +78,10 @@
 /// Rules that have a class of calls of their own. More share the first one: a
 /// class costs some 30 KB, and an entry has 256 MB for everything.
 const CLASSES_MAX: usize = 64;
+/// About the length of the pauses that collectors and compactions cause (250 ms
+/// on the users' leafs): shorter sends calls into the rest of a pause, longer
+/// idles a leaf that has long recovered.
+const PAUSE: Duration = Duration::from_millis(250);
 /// Requests of one target that run at once at an entry. It bounds memory; the
 /// leafs' own queues decide before it does.
 const RUNNING_MAX: u32 = 256;
@@ -124,6 +129,7 @@
     pub(crate) fn new(settings: RelaySettings, host: Host, forward: Arc<dyn Forward>) -> Self {
         let config = TableConfig {
             choice: Choice::Predicted,
+            stall: PAUSE,
             ..TableConfig::default()
         };
         let ground = Ground {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -99,6 +99,11 @@
     pub retry_share: Share,
     /// Whether outliers are evicted and cold leafs ramped up.
     pub guard: Guard,
+    /// How long a back end with a late call is passed over while it answers
+    /// nothing. It helps where back ends pause, all their calls at once; where
+    /// single calls straggle it idles sound ones: 5% of calls at 30 times their
+    /// length then give a p99 of 41 ms instead of 29.
+    pub stall: Duration,
 }
 
 /// Whether the table guards against faulty leafs.
@@ -121,6 +126,7 @@
             hedge_share: Share::from_permille(80),
             retry_share: Share::from_permille(100),
             guard: Guard::On,
+            stall: Duration::ZERO,
         }
     }
 }
@@ -142,11 +148,6 @@
 /// How long a leaf that refused a call is passed over. Long enough for a slot
 /// to come free, short enough not to idle the leaf.
 const REFUSED_REST: Duration = Duration::from_millis(20);
-/// How long a back end with a late call is passed over while it answers
-/// nothing. About the length of the pauses that collectors and compactions
-/// cause (250 ms on the users' leafs): shorter sends calls into the rest of
-/// the pause, longer idles a leaf that has long recovered.
-const STALL_REST: Duration = Duration::from_millis(250);
 /// Span from one late call to another, with no answer between, that makes a
 /// back end dark. A pause of 250 ms makes all its calls late within 250 ms.
 const DARK_SPAN: Duration = Duration::from_millis(300);
@@ -457,8 +458,9 @@
     /// end answers a call, or for a while, others are preferred: a leaf that
     /// pauses keeps every call that it is sent waiting for the whole pause.
     pub fn stalled(&mut self, ix: Ix, now: Time) {
+        let rest = self.config.stall;
         let state = &mut self.states[ix.index()];
-        state.stalled = now + STALL_REST;
+        state.stalled = now + rest;
         let (first, _) = state.silent.unwrap_or((now, now));
         state.silent = Some((first, now));
     }
--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -301,3 +301,26 @@
     }
     assert!((700..=800).contains(&passed), "{passed}");
 }
+
+/// Queries wait for busy replicas while a sound one idles.
+/// Single calls straggle, a few in a hundred. A table that is not told that its
+/// back ends pause as a whole goes on using one after a late call; with a rest
+/// of 250 ms p99 rose from 29 to 41 ms.
+#[test]
+fn one_late_call_does_not_idle_its_back_end() {
+    let chosen = |stall| {
+        let config = TableConfig {
+            stall,
+            choice: Choice::LeastOutstanding,
+            ..TableConfig::default()
+        };
+        let mut table = Table::new(config);
+        let replicas = leafs(&mut table, 2);
+        table.sent(replicas[1]);
+        table.stalled(replicas[0], at(10));
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        choose_replica(&mut table, &replicas, &[], V1, at(11), &mut rng) == Some(replicas[0])
+    };
+    assert!(chosen(Duration::ZERO));
+    assert!(!chosen(Duration::from_millis(250)));
+}
