Prefer resting leafs to leaving ones; wait longer for a store that is lost at start

Entries that start without a store asked for its pulse 25 times a second; the time doubles up to 0.32 s.

--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -66,12 +66,16 @@
 /// Time between two pulses. A store or peer that is lost is noticed within it,
 /// well within the seconds in which changes are due.
 const PULSE: Duration = Duration::from_secs(1);
-/// Time between two pulses while the entry has no book or no leafs yet.
+/// First time between two pulses while the entry has no book or no leafs yet; it
+/// doubles with each up to the longest. Callers are refused meanwhile, and each
+/// call of each entry that waits for a lost store is paid for.
 const PULSE_START: Duration = Duration::from_millis(40);
+const PULSE_START_MAX: Duration = Duration::from_millis(320);
 
 /// Keeps choosing the upstream and asking for its pulse, for as long as the
 /// entry runs.
 pub(crate) async fn run(shared: Arc<Shared>, members: Arc<Members>, sources: Arc<Sources>) {
+    let mut start = PULSE_START;
     loop {
         let upstream = choose(&shared, &members);
         shared.metrics.count_store(match upstream {
@@ -99,7 +103,8 @@
                 }
             }
         }
-        rest(&shared).await;
+        rest(&shared, start).await;
+        start = (start * 2).min(PULSE_START_MAX);
     }
 }
 
@@ -128,12 +133,12 @@
 }
 
 /// Waits for the next pulse, or until the upstream may have to change.
-async fn rest(shared: &Shared) {
+async fn rest(shared: &Shared, start: Duration) {
     // Drawn from three quarters to the whole, so that entries that started
     // together don't ask together.
     let draw = shared.host.rng().next_u64() as f64 / u64::MAX as f64;
     let span = match shared.phase() {
-        Phase::Starting => PULSE_START,
+        Phase::Starting => start,
         Phase::Serving | Phase::Leaving => PULSE,
     };
     tokio::select! {
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -73,8 +73,17 @@
         .iter()
         .copied()
         .filter(|ix| !evicted.contains(ix) && !table.is_resting(*ix, now))
+        .filter(|ix| !table.is_doubted(*ix))
         .collect();
-    let among = if fit.is_empty() { &open } else { &fit };
+    let sure: Vec<Ix> = open
+        .iter()
+        .copied()
+        .filter(|ix| !table.is_doubted(*ix))
+        .collect();
+    // A replica that rests is better than one that is leaving: the latter may
+    // end at any moment, and must be left alone soon.
+    let tiers = [&fit, &sure, &open];
+    let among = tiers.into_iter().find(|tier| !tier.is_empty())?;
     pick(table, among, now, rng)
 }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -495,8 +495,13 @@
     #[must_use]
     pub(crate) fn is_resting(&self, ix: Ix, now: Time) -> bool {
         let state = &self.states[ix.index()];
-        let resting = now < state.rest || now < state.stalled || state.doubted;
-        self.config.guard == Guard::On && resting
+        self.config.guard == Guard::On && (now < state.rest || now < state.stalled)
+    }
+
+    /// Whether it is not known that a back end is still there.
+    #[must_use]
+    pub(crate) fn is_doubted(&self, ix: Ix) -> bool {
+        self.states[ix.index()].doubted
     }
 
     /// Expected nanoseconds of a call of `class`, from what calls took.
--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -324,3 +324,29 @@
     assert!(chosen(Duration::ZERO));
     assert!(!chosen(Duration::from_millis(250)));
 }
+
+/// A leaf that leaves gets calls although two others serve.
+/// Both of those rest for a moment, one after a refusal and one after a late
+/// call, and all three looked equally unfit. One that rests goes before one
+/// that is leaving.
+#[test]
+fn a_resting_back_end_goes_before_a_leaving_one() {
+    let config = TableConfig {
+        stall: Duration::from_millis(250),
+        ..TableConfig::default()
+    };
+    let mut table = Table::new(config);
+    let replicas = leafs(&mut table, 3);
+    table.set_doubt(replicas[0], true);
+    table.sent(replicas[1]);
+    table.failed(replicas[1], Failure::Refused(Refusal::Shed), at(10));
+    table.stalled(replicas[2], at(10));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..50 {
+        let chosen = choose_replica(&mut table, &replicas, &[], V1, at(11), &mut rng);
+        assert_ne!(chosen, Some(replicas[0]));
+    }
+    let others = &replicas[1..];
+    let chosen = choose_replica(&mut table, &replicas, others, V1, at(11), &mut rng);
+    assert_eq!(chosen, Some(replicas[0]));
+}
