Split the table and the query by their jobs; share what stood twice

Refusals and failures, back ends and a table's settings, a query's types and how it ends have files of their own; requests in flight are counted, and bodies read, by one piece of code each.

--- a/crates/flow/src/host.rs
+++ b/crates/flow/src/host.rs
@@ -1,6 +1,6 @@
 //! What every task of an entry needs: log, clock and random draws.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 use chestnut_port::Clock;
 use chestnut_unit::Time;
@@ -57,3 +57,21 @@
         ChaCha8Rng::seed_from_u64(self.seed.wrapping_add(draw))
     }
 }
+
+/// Counts a request while it is served.
+#[derive(Debug)]
+pub struct InFlight<'a>(&'a AtomicU32);
+
+impl<'a> InFlight<'a> {
+    /// Counts one more in `count`, until it is dropped.
+    pub fn enter(count: &'a AtomicU32) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -17,4 +17,4 @@
 pub use chestnut_unit::lock;
 pub use fanout::{Calls, Flying, Parts, Start, run};
 pub use gate::{Running, admit};
-pub use host::{Host, Trace};
+pub use host::{Host, InFlight, Trace};
--- a/crates/port/src/serve.rs
+++ b/crates/port/src/serve.rs
@@ -367,7 +367,11 @@
 /// # Errors
 ///
 /// It is larger, or broke off.
-pub async fn read_body(body: Incoming, most: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body<B>(body: B, most: usize) -> Result<Bytes, BodyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use chestnut_book::{Kind, RouteBook, Rule, Target, greatest};
-use chestnut_flow::{Running, admit, lock, run};
+use chestnut_flow::{InFlight, Running, admit, lock, run};
 use chestnut_port::{LeafReply, Message};
 use chestnut_route::{End, Give, Ix, Order, Query, QueryConfig, Repeat, Yields};
 use chestnut_unit::{Coverage, Reason, Run, Share, Time, Urgency};
@@ -17,7 +17,7 @@
 
 use crate::{
     calls::Forwarded,
-    shared::{Ground, InFlight, Phase, Plan, Shared, plan},
+    shared::{Ground, Phase, Plan, Shared, plan},
 };
 
 /// A request of a caller.
@@ -97,7 +97,7 @@
 
 /// Takes a request through the request path.
 pub(crate) async fn forward(shared: &Shared, ask: Ask) -> Reply {
-    let _flight = InFlight::enter(shared);
+    let _flight = InFlight::enter(&shared.in_flight);
     let start = shared.now();
     let mut account = Account {
         rule: None,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -109,22 +109,6 @@
     requests: AtomicU64,
 }
 
-/// Counts a request while it is served.
-pub(crate) struct InFlight<'a>(&'a Shared);
-
-impl<'a> InFlight<'a> {
-    pub(crate) fn enter(shared: &'a Shared) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(shared)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Shared {
     pub(crate) fn new(settings: RelaySettings, host: Host, forward: Arc<dyn Forward>) -> Self {
         let config = TableConfig {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -28,10 +28,12 @@
 
 mod admit;
 mod attempt;
+mod backend;
 mod budget;
 mod choose;
 mod damped;
 mod estimate;
+mod failure;
 mod faults;
 mod gauge;
 mod hedge;
@@ -46,10 +48,12 @@
 
 pub use admit::{Adapt, Admission, AdmitConfig, Decision, Order, Release, Yields};
 pub use attempt::{Attempt, Ended, Fate, NotRun, Planned, Queued, Sent};
+pub use backend::{Backend, Guard, Ix, TableConfig};
 pub use budget::Budget;
 pub use choose::{Choice, choose_replica};
 pub use damped::Damped;
 pub use estimate::{Estimate, Quantiles};
+pub use failure::{Failure, Refusal};
 pub use gauge::Gauge;
 pub use hedge::Hedge;
 pub use limit::{Limit, Ran};
@@ -58,5 +62,5 @@
 pub use profile::{Class, Profile};
 pub use purse::{Purse, PurseId};
 pub use query::{Action, CallId, CallKind, Context, End, Give, Query, QueryConfig, Repeat};
-pub use table::{Backend, Eviction, Failure, Guard, Ix, Refusal, Table, TableConfig};
+pub use table::{Eviction, Table};
 pub use versions::{Route, Routes, Versions};
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -1,138 +1,17 @@
 //! One fan-out over the shards of a snapshot, from first call to merge.
 
+mod closing;
+mod config;
 mod tries;
 
 use std::{sync::Arc, time::Duration};
 
-use chestnut_unit::{Coverage, IndexVersion, Share, Time};
+use chestnut_unit::{Coverage, IndexVersion, Time};
+pub use config::{Action, CallId, CallKind, End, Give, QueryConfig, Repeat};
 use rand::Rng;
 use tries::kind_after;
 
-use crate::{Attempt, Class, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
-
-/// Number of a call within its query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct CallId(pub u32);
-
-/// Why a call is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallKind {
-    /// The first call for its shards.
-    First,
-    /// A second call for shards that are late.
-    Hedge,
-    /// A call after an earlier one was lost.
-    Retry,
-    /// A call after an earlier one was shed. The refusal cost its target
-    /// little, so the budget allows more of these.
-    Reshed,
-    /// A call after an earlier one that cost its target nothing: it never
-    /// left this entry, or the target is leaving or lacks the snapshot, or its
-    /// connection was silent. It adds no load, so no budget limits it; the
-    /// number of replicas does.
-    Reroute,
-}
-
-impl CallKind {
-    /// The word in logs.
-    #[must_use]
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::First => "first",
-            Self::Hedge => "hedge",
-            Self::Retry => "retry",
-            Self::Reshed => "retry after shed",
-            Self::Reroute => "reroute",
-        }
-    }
-}
-
-/// What the caller of the decision has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Call a back end.
-    Call {
-        /// Number of the call.
-        call: CallId,
-        /// The back end.
-        to: Ix,
-        /// Shards asked, as positions in the query.
-        shards: Vec<usize>,
-        /// Why.
-        kind: CallKind,
-        /// Deadline for the back end, earlier than the query's.
-        deadline: Time,
-    },
-    /// Cancel a call: nothing waits for it any more.
-    Cancel(CallId),
-}
-
-/// Why a query ended without all its shards.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Give {
-    /// The deadline came.
-    Deadline,
-    /// A shard has no replica left to try, or no budget to try it.
-    NoReplica,
-    /// A shard's replicas no longer have the snapshot.
-    SnapshotLost,
-    /// The answer covers the least share, and the time within which callers
-    /// want it is up: what is missing would come too late to be worth it.
-    Enough,
-}
-
-/// How a query ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
-    /// All shards answered.
-    Whole,
-    /// Some did not.
-    Partial(Give),
-}
-
-/// Whether a call may be made again when an earlier one may have run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Repeat {
-    /// It may: running twice changes nothing.
-    Free,
-    /// Only after proof that none of the earlier calls ran.
-    Unrun,
-}
-
-/// Parameters of one query.
-#[derive(Clone, Copy, Debug)]
-pub struct QueryConfig {
-    /// When the answer must be ready.
-    pub deadline: Time,
-    /// Least share of shards that the answer must cover; once it is out of
-    /// reach the query ends.
-    pub least: Share,
-    /// When the caller wants the answer. From then on the least share is
-    /// enough.
-    pub goal: Time,
-    /// Back ends that may run a shard's call, the first included.
-    pub attempts: u32,
-    /// Whether a call may be repeated.
-    pub repeat: Repeat,
-    /// The class of its calls.
-    pub class: Class,
-}
-
-impl QueryConfig {
-    /// A query that waits for whole answers until its deadline and repeats
-    /// calls freely.
-    #[must_use]
-    pub fn new(deadline: Time, least: Share) -> Self {
-        Self {
-            deadline,
-            least,
-            goal: deadline,
-            attempts: u32::MAX,
-            repeat: Repeat::Free,
-            class: Class::default(),
-        }
-    }
-}
+use crate::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
 
 /// Time that an answer needs from a back end to the caller of the decision,
 /// taken off the deadline at each hop.
@@ -311,42 +190,6 @@
         }
     }
 
-    /// Whether the answer is past its goal and covers the least share.
-    fn is_enough(&self, now: Time) -> bool {
-        let merged = self.shards.len() - self.pending;
-        now >= self.config.goal && merged > 0 && self.reaches_least(merged)
-    }
-
-    /// Shards without any back end that may be called.
-    fn closed(&self, cx: &Context<'_>) -> Vec<usize> {
-        let version = self.version();
-        let is_closed = |position: &usize| {
-            let route = self.shards[*position].route;
-            let mut replicas = self.routes.shards[route].replicas.iter();
-            !replicas.any(|ix| cx.table.is_open(*ix, version, cx.now))
-        };
-        (0..self.shards.len()).filter(is_closed).collect()
-    }
-
-    /// Whether the least share is in and all that is missing would have to come
-    /// from back ends that answer nobody. Each query still calls one of them,
-    /// so that one that is back shows within a query.
-    fn is_dark(&self, cx: &Context<'_>) -> bool {
-        let merged = self.shards.len() - self.pending;
-        if self.config.goal >= self.config.deadline || !self.reaches_least(merged) {
-            return false;
-        }
-        let mut pending = self.shards.iter().filter(|shard| shard.part.is_none());
-        pending.all(|shard| {
-            let replicas = &self.routes.shards[shard.route].replicas;
-            replicas.iter().all(|ix| cx.table.is_dark(*ix, cx.now))
-        })
-    }
-
-    fn reaches_least(&self, shards: usize) -> bool {
-        shards as f64 >= self.config.least.as_f64() * self.shards.len() as f64
-    }
-
     /// Takes back from the shards of a call that it may have run.
     fn uncount(&mut self, id: CallId) {
         for position in &self.calls[id.0 as usize].shards {
@@ -484,64 +327,6 @@
             self.stuck = true;
         }
     }
-
-    /// Ends the query if nothing more can come of it.
-    fn settle(&mut self, cx: &mut Context<'_>) {
-        if self.end.is_some() {
-            return;
-        }
-        if self.pending == 0 {
-            self.finish(End::Whole, cx);
-            return;
-        }
-        if self.is_enough(cx.now) || self.is_dark(cx) {
-            self.finish(End::Partial(Give::Enough), cx);
-            return;
-        }
-        if !self.stuck {
-            return;
-        }
-        let hopeless: Vec<usize> = (0..self.shards.len())
-            .filter(|p| self.shards[*p].is_hopeless())
-            .collect();
-        if hopeless.is_empty() {
-            self.stuck = false;
-            return;
-        }
-        let reachable = self.shards.len() - hopeless.len();
-        if hopeless.len() == self.pending || !self.reaches_least(reachable) {
-            let give = self.why(&hopeless, cx);
-            self.finish(End::Partial(give), cx);
-        }
-    }
-
-    /// Why shards have no live call and get none.
-    fn why(&self, hopeless: &[usize], cx: &Context<'_>) -> Give {
-        if cx.now + HOP >= self.config.deadline {
-            return Give::Deadline;
-        }
-        let version = self.version();
-        let lost = hopeless.iter().any(|position| {
-            let route = self.shards[*position].route;
-            let replicas = &self.routes.shards[route].replicas;
-            !replicas.is_empty()
-                && !replicas
-                    .iter()
-                    .any(|ix| cx.table.is_open(*ix, version, cx.now))
-        });
-        if lost {
-            Give::SnapshotLost
-        } else {
-            Give::NoReplica
-        }
-    }
-
-    fn finish(&mut self, end: End, cx: &mut Context<'_>) {
-        self.end = Some(end);
-        for number in 0..self.calls.len() {
-            self.cancel(CallId(number as u32), cx);
-        }
-    }
 }
 
 impl<P> Shard<P> {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -2,135 +2,18 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    fmt,
     time::Duration,
 };
 
-use chestnut_unit::{IndexVersion, LeafId, MemberId, Share, Time};
+use chestnut_unit::{IndexVersion, Time};
 
 use crate::{
-    Choice, Class, Damped, Estimate, Gauge, Hedge, Profile, Purse, PurseId,
+    Class, Damped, Estimate, Gauge, Profile, Purse, PurseId,
+    backend::{Backend, Guard, Ix, TableConfig},
+    failure::{Failure, Refusal},
     faults::{Faults, Verdict},
 };
 
-/// A back end of a service, as one entry sees it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Backend {
-    /// A leaf that this entry holds and calls itself.
-    Leaf(LeafId),
-    /// A peer that holds leafs for which this entry asks it.
-    Peer(MemberId),
-}
-
-impl fmt::Display for Backend {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Leaf(id) => write!(f, "leaf {id}"),
-            Self::Peer(id) => write!(f, "peer {id}"),
-        }
-    }
-}
-
-/// Number of a back end in its table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct Ix(u32);
-
-impl Ix {
-    /// Position in the table's list.
-    #[must_use]
-    pub fn index(self) -> usize {
-        self.0 as usize
-    }
-}
-
-/// Why a target refused a call before running any of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Refusal {
-    /// It sheds load.
-    Shed,
-    /// Its connections are used up.
-    Connections,
-    /// It is leaving.
-    Draining,
-    /// It no longer has, or doesn't yet have, the snapshot.
-    NoSnapshot,
-    /// The deadline is too near.
-    Deadline,
-}
-
-/// How a call failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// Nothing was handed to a connection.
-    NotSent,
-    /// The target refused it unrun.
-    Refused(Refusal),
-    /// It was sent and no usable answer came.
-    Lost,
-    /// It was sent on a connection that turned out to be silent. As lost, but
-    /// nothing is said against the target.
-    Cut,
-    /// The target ran it and answered with a failure of its own.
-    Failed,
-}
-
-impl fmt::Display for Failure {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotSent => f.write_str("not sent"),
-            Self::Refused(refusal) => write!(f, "refused: {refusal:?}"),
-            Self::Lost => f.write_str("lost"),
-            Self::Cut => f.write_str("cut off by a silent connection"),
-            Self::Failed => f.write_str("answered with a failure"),
-        }
-    }
-}
-
-/// Parameters of a table.
-#[derive(Clone, Debug)]
-pub struct TableConfig {
-    /// How a replica is chosen.
-    pub choice: Choice,
-    /// How hedges are timed.
-    pub hedge: Hedge,
-    /// Share of extra calls for hedges.
-    pub hedge_share: Share,
-    /// Share of extra calls for retries.
-    pub retry_share: Share,
-    /// Whether outliers are evicted and cold leafs ramped up.
-    pub guard: Guard,
-    /// How long a back end with a late call is passed over while it answers
-    /// nothing. It helps where back ends pause, all their calls at once; where
-    /// single calls straggle it idles sound ones: 5% of calls at 30 times their
-    /// length then give a p99 of 41 ms instead of 29.
-    pub stall: Duration,
-}
-
-/// Whether the table guards against faulty leafs.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Guard {
-    /// Evict outliers, back off from refusals, ramp up cold leafs.
-    On,
-    /// None of it, for the naive baseline.
-    Off,
-}
-
-impl Default for TableConfig {
-    fn default() -> Self {
-        Self {
-            choice: Choice::PeakEwma,
-            hedge: Hedge::Late {
-                times: 1.2,
-                missing: 0.6,
-            },
-            hedge_share: Share::from_permille(80),
-            retry_share: Share::from_permille(100),
-            guard: Guard::On,
-            stall: Duration::ZERO,
-        }
-    }
-}
-
 /// Calls that a budget saves up, so that a service at rest can hedge or retry
 /// a whole fan-out at once.
 const BURST: u32 = 64;
@@ -424,7 +307,7 @@
     pub fn failed(&mut self, ix: Ix, failure: Failure, now: Time) {
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
-        if is_fault(failure) {
+        if failure.is_fault() {
             state.faults.record(Verdict::Bad, now);
         }
         match failure {
@@ -566,16 +449,6 @@
     }
 }
 
-/// Whether a failure tells against the back end. One that is leaving, lacks a
-/// snapshot or had a connection cut under it is none the worse for it.
-fn is_fault(failure: Failure) -> bool {
-    match failure {
-        Failure::NotSent | Failure::Lost | Failure::Failed => true,
-        Failure::Refused(refusal) => refusal == Refusal::Shed,
-        Failure::Cut => false,
-    }
-}
-
 /// Largest factor that a hint may worsen a score by. At 2 an idle replica that
 /// calls itself busy is still preferred to a busy one that calls itself idle
 /// once their calls differ by as much.
--- a/crates/tier/src/query.rs
+++ b/crates/tier/src/query.rs
@@ -7,7 +7,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use chestnut_conf::{CallKind, CallPolicy, OrgPolicy};
-use chestnut_flow::{GateId, Running, Trace, admit, run};
+use chestnut_flow::{GateId, InFlight, Running, Trace, admit, run};
 use chestnut_port::{SubAnswer, SubQuery};
 use chestnut_route::{End, Failure, Give, Order, Query, QueryConfig, Refusal, Routes, Yields};
 use chestnut_unit::{Reason, Run, Share, Time};
@@ -26,22 +26,6 @@
 /// Requests at once past which parts for peers are shed, to bound memory.
 const SUB_QUERIES_MAX: u32 = 4096;
 
-/// Counts a request while it is served.
-pub(crate) struct InFlight<'a>(&'a Shared);
-
-impl<'a> InFlight<'a> {
-    pub(crate) fn enter(shared: &'a Shared) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::Relaxed);
-        Self(shared)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// A request that is let in under its organisation's limit.
 struct OrgPass<'a> {
     shared: &'a Shared,
@@ -160,7 +144,7 @@
 
 /// Answers a caller's query.
 pub(crate) async fn answer(shared: &Shared, ask: QueryRequest) -> Result<Answer, Refused> {
-    let _flight = InFlight::enter(shared);
+    let _flight = InFlight::enter(&shared.in_flight);
     let start = shared.now();
     let mut subject = Subject {
         request: shared.next_request(),
@@ -329,7 +313,7 @@
     if running >= SUB_QUERIES_MAX {
         return SubAnswer::Failed(Failure::Refused(Refusal::Shed));
     }
-    let _flight = InFlight::enter(shared);
+    let _flight = InFlight::enter(&shared.in_flight);
     let Some(service) = shared.service(&ask.service) else {
         return SubAnswer::Failed(Failure::Refused(Refusal::NoSnapshot));
     };
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_conf::CallKind;
-use chestnut_flow::{GateId, Trace, admit};
+use chestnut_flow::{GateId, InFlight, Trace, admit};
 use chestnut_once::{Claim, Outcome};
 use chestnut_port::{Dispatch, LeafSubmit, PeerError, Submission, SubmitReply};
 use chestnut_route::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, choose_replica};
@@ -15,7 +15,7 @@
 
 use crate::{
     api::{Refused, SubmitOutcome, SubmitRequest, TicketReply},
-    query::{self, InFlight},
+    query,
     refuse::{Subject, Why, refuse},
     service::{Place, Service},
     shared::{Shared, lock},
@@ -49,7 +49,7 @@
     shared: &Arc<Shared>,
     ask: SubmitRequest,
 ) -> Result<SubmitOutcome, Refused> {
-    let _flight = InFlight::enter(shared);
+    let _flight = InFlight::enter(&shared.in_flight);
     let mut subject = Subject {
         request: shared.next_request(),
         organisation: Some(ask.organisation.clone()),
--- a/crates/tier/src/web.rs
+++ b/crates/tier/src/web.rs
@@ -3,10 +3,11 @@
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use chestnut_port::read_body as port_body;
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, StatusCode,
-    body::{Body, Incoming},
+    body::Incoming,
     header::{CONTENT_TYPE, HeaderValue},
     service::service_fn,
 };
@@ -76,25 +77,15 @@
 
 /// Reads a whole body within the limits.
 pub(crate) async fn read_body(mut body: Incoming, limits: &WebLimits) -> Result<Bytes, BodyError> {
-    let read = timeout(limits.patience, collect(&mut body, limits.body)).await;
+    let read = timeout(limits.patience, port_body(&mut body, limits.body)).await;
     match read {
         Err(_) => Err(BodyError::Slow),
-        Ok(Err(BodyError::Large)) => {
+        Ok(Err(chestnut_port::BodyError::Large)) => {
             let _ = timeout(limits.patience, discard(&mut body)).await;
             Err(BodyError::Large)
         }
-        Ok(result) => result,
-    }
-}
-
-async fn collect(body: &mut Incoming, most: usize) -> Result<Bytes, BodyError> {
-    if body.size_hint().lower() > most as u64 {
-        return Err(BodyError::Large);
-    }
-    match Limited::new(body, most).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::Large),
-        Err(_) => Err(BodyError::Broken),
+        Ok(Err(chestnut_port::BodyError::Broken)) => Err(BodyError::Broken),
+        Ok(Ok(body)) => Ok(body),
     }
 }
 
