--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -48,6 +48,7 @@
     pub(crate) leafs: Gauge,
     pub(crate) book: Gauge,
     pub(crate) in_flight: Gauge,
+    pub(crate) classes: Gauge,
 }
 
 impl Metrics {
@@ -65,6 +66,7 @@
             leafs: Gauge::default(),
             book: Gauge::default(),
             in_flight: Gauge::default(),
+            classes: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -83,6 +85,7 @@
         r.register("leafs", "Leafs that are known", self.leafs.clone());
         r.register("book_version", "Version in force", self.book.clone());
         r.register("in_flight", "Requests that run", self.in_flight.clone());
+        r.register("classes", "Classes of calls", self.classes.clone());
     }
 
     pub(crate) fn observe(&self, rule: &str, outcome: &'static str, span: Duration) {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -134,6 +134,8 @@
     pub fn metrics(&self) -> String {
         let in_flight = self.shared.in_flight.load(Ordering::Relaxed);
         self.shared.metrics.in_flight.set(i64::from(in_flight));
+        let classes = lock(&self.shared.cell.state).table.classes();
+        self.shared.metrics.classes.set(classes as i64);
         self.shared.metrics.text()
     }
 
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -1,7 +1,7 @@
 //! The tables that the tasks of one entry share.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -64,6 +64,8 @@
     pub(crate) leafs: Leafs,
     pub(crate) places: BTreeMap<Ix, Place>,
     rules: BTreeMap<String, RuleState>,
+    /// Classes of rules that are gone.
+    spare: Vec<Class>,
     purses: BTreeMap<ServiceName, PurseId>,
     gates: BTreeMap<Vec<ServiceName>, GateId>,
     routes: BTreeMap<Vec<ServiceName>, Arc<Routes>>,
@@ -76,7 +78,8 @@
 pub(crate) type State = chestnut_flow::State<Ground>;
 
 /// Rules that have a class of calls of their own. More share the first one: a
-/// class costs some 30 KB, and an entry has 256 MB for everything.
+/// class costs some 30 KB, and an entry has 256 MB for everything. Those of rules
+/// that are gone are used again, or a day of 5,200 edits would use them up.
 const CLASSES_MAX: usize = 64;
 /// About the length of the pauses that collectors and compactions cause (250 ms
 /// on the users' leafs): shorter sends calls into the rest of a pause, longer
@@ -121,6 +124,7 @@
             leafs: Leafs::new(settings.times.lapse(), settings.times.linger()),
             places: BTreeMap::new(),
             rules: BTreeMap::new(),
+            spare: Vec::new(),
             purses: BTreeMap::new(),
             gates: BTreeMap::new(),
             routes: BTreeMap::new(),
@@ -174,7 +178,16 @@
         if known.is_some_and(|known| known >= book.version) {
             return false;
         }
-        state.extra.book = Some(Arc::new(book));
+        let named: BTreeSet<&String> = book.rules().map(|rule| &rule.name).collect();
+        let ground = &mut state.extra;
+        ground.rules.retain(|name, kept| {
+            let stays = named.contains(name);
+            if !stays && kept.class != Class::default() {
+                ground.spare.push(kept.class);
+            }
+            stays
+        });
+        ground.book = Some(Arc::new(book));
         true
     }
 
@@ -319,10 +332,13 @@
     if let Some(known) = state.extra.rules.get(&rule.name) {
         return known.class;
     }
-    let class = if state.extra.rules.len() < CLASSES_MAX {
-        state.table.add_class()
-    } else {
-        Class::default()
+    let class = match state.extra.spare.pop() {
+        Some(class) => {
+            state.table.reset_class(class);
+            class
+        }
+        None if state.table.classes() < CLASSES_MAX => state.table.add_class(),
+        None => Class::default(),
     };
     let turns = Turns::default();
     let kept = RuleState { class, turns };
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -162,3 +162,28 @@
         Reply::Whole(_)
     ));
 }
+
+/// An entry's memory grows with every edit, and hedges stop fitting their
+/// routes after some days.
+/// Operators add and remove routes; each has a class of calls of its own, and
+/// those of routes that are gone must be used again.
+#[tokio::test(start_paused = true)]
+async fn classes_of_removed_rules_are_used_again() {
+    let stage = Stage::default();
+    stage.add_leafs("archive", 1, 1);
+    stage.store.put_book(one(1));
+    let relay = stage.serving(1).await;
+    for version in 2..202 {
+        let target = Target::One(name("archive"));
+        let mut added = rule("/a/", Kind::Idempotent, target);
+        added.name = format!("added {version}");
+        stage.store.put_book(book(version, vec![added]));
+        sleep(Duration::from_secs(1)).await;
+        assert!(matches!(
+            relay.forward(ask("r", "/a/x")).await,
+            Reply::Whole(_)
+        ));
+    }
+    let metrics = relay.metrics();
+    assert!(metrics.contains("chestnut_relay_classes 2\n"), "{metrics}");
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -217,6 +217,18 @@
         class
     }
 
+    /// Forgets what calls of a class took, so that another kind of calls can
+    /// have it.
+    pub fn reset_class(&mut self, class: Class) {
+        self.profiles[class.index()] = Profile::default();
+    }
+
+    /// Classes so far.
+    #[must_use]
+    pub fn classes(&self) -> usize {
+        self.profiles.len()
+    }
+
     /// Adds a budget of extra calls that some shards draw on together.
     ///
     /// # Panics
