Half of the slack comes over the window; unsafe calls avoid idle connections

- The slack of extra calls was saved up whole and never came again: a service in lasting trouble had the share of first calls alone.
Half of it is saved up now and half comes over the window, within the same bound.
- A leaf may forget an idle connection; what is sent on it is reset, which proves nothing.
Requests that run at most once go on connections used within 0.5 s.
- Connections of callers follow the descriptors of the machine.

--- a/crates/port/src/exchange.rs
+++ b/crates/port/src/exchange.rs
@@ -68,6 +68,7 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    since: Time,
     until: Time,
 }
 
@@ -105,7 +106,8 @@
     }
 
     /// Sends `request` to a back end over a connection of its own, at most
-    /// `most` of which are open at once. Dropping the future closes the
+    /// `most` of which are open at once and which was idle for `idle` at most.
+    /// Dropping the future closes the
     /// connection, which cancels the request.
     ///
     /// # Errors
@@ -117,10 +119,11 @@
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         most: usize,
+        idle: Duration,
     ) -> Result<Exchange, ExchangeError> {
         let mut request = request;
         loop {
-            let mut lease = self.lease(leaf, address, most).await?;
+            let mut lease = self.lease(leaf, address, most, idle).await?;
             let sent = lease.sender.try_send_request(request).await;
             match sent {
                 Ok(answer) => return self.read(lease, answer).await,
@@ -156,13 +159,15 @@
         leaf: &LeafId,
         address: SocketAddr,
         most: usize,
+        longest: Duration,
     ) -> Result<Lease, ExchangeError> {
         let now = self.inner.clock.now();
         let mut seat = {
             let mut leafs = lock(&self.inner.leafs);
             let conns = leafs.entry(leaf.clone()).or_default();
             while let Some(idle) = conns.idle.pop() {
-                if idle.sender.is_ready() && now < idle.until {
+                let sound = idle.sender.is_ready() && now < idle.until;
+                if sound && now.since(idle.since) <= longest {
                     let seat = Seat::new(self, leaf, Some(idle.task));
                     return Ok(Lease {
                         sender: idle.sender,
@@ -290,7 +295,8 @@
         } = lease;
         let exchanges = seat.exchanges.clone();
         let idle = stated_idle(&answer).unwrap_or(exchanges.inner.config.idle);
-        let until = exchanges.inner.clock.now() + idle.saturating_sub(IDLE_MARGIN);
+        let now = exchanges.inner.clock.now();
+        let until = now + idle.saturating_sub(IDLE_MARGIN);
         let mut leafs = lock(&exchanges.inner.leafs);
         let (Some(conns), Some(task)) = (leafs.get_mut(&seat.leaf), seat.task.clone()) else {
             drop(leafs);
@@ -300,6 +306,7 @@
         conns.idle.push(Idle {
             sender,
             task,
+            since: now,
             until,
         });
         answer
--- a/crates/port/src/forward.rs
+++ b/crates/port/src/forward.rs
@@ -36,6 +36,10 @@
     pub left: Duration,
     /// Connections to the leaf that may be open at once.
     pub connections: usize,
+    /// Longest time that a connection which carries the call may have been
+    /// idle. A leaf may have forgotten an idle one, and what is sent on it is
+    /// lost without proof that it did not run.
+    pub idle: Duration,
 }
 
 /// A leaf's answer to a forwarded request.
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -3,9 +3,10 @@
 use std::{
     fmt::Display,
     sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
 };
 
-use chestnut_book::RouteBook;
+use chestnut_book::{Kind, RouteBook};
 use chestnut_flow::{Calls, Flying, Parts, Start, lock};
 use chestnut_port::{LeafCall, LeafFailure, LeafReply, Message};
 use chestnut_route::{Eviction, Failure};
@@ -21,11 +22,17 @@
     pub(crate) shared: &'a Shared,
     pub(crate) book: &'a RouteBook,
     pub(crate) message: Arc<Message>,
+    pub(crate) kind: Kind,
     /// The last failure that a leaf answered with, to pass on if nothing
     /// better comes.
     pub(crate) failed: Arc<Mutex<Option<LeafReply>>>,
 }
 
+/// Longest idle time of a connection for a request that runs at most once. Leafs
+/// keep idle connections for some seconds, and sometimes forget them sooner; a
+/// new one costs a few milliseconds.
+const IDLE_ONCE: Duration = Duration::from_millis(500);
+
 impl Calls for Forwarded<'_> {
     type Extra = Ground;
     type Part = LeafReply;
@@ -53,6 +60,10 @@
             message: self.message.clone(),
             left: start.left,
             connections: allotment.connections(most),
+            idle: match self.kind {
+                Kind::Idempotent => Duration::MAX,
+                Kind::Once => IDLE_ONCE,
+            },
         };
         let reply = self.shared.forward.call(call);
         let (failed, shards) = (self.failed.clone(), start.shards);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -158,7 +158,7 @@
         },
         class,
     };
-    let forwarded = forwarded(shared, &book, ask);
+    let forwarded = forwarded(shared, &book, &rule, ask);
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
     account.calls = query.calls();
     account.coverage = Some(query.coverage());
@@ -168,11 +168,12 @@
     reply(&rule, query, failed)
 }
 
-fn forwarded<'a>(shared: &'a Shared, book: &'a RouteBook, ask: &Ask) -> Forwarded<'a> {
+fn forwarded<'a>(shared: &'a Shared, book: &'a RouteBook, rule: &Rule, ask: &Ask) -> Forwarded<'a> {
     Forwarded {
         shared,
         book,
         message: ask.message.clone(),
+        kind: rule.kind,
         failed: Arc::new(Mutex::new(None)),
     }
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -151,6 +151,12 @@
         self.shared.reload(settings.extra, settings.times);
     }
 
+    /// Connections of callers that may be open.
+    #[must_use]
+    pub fn callers(&self) -> usize {
+        self.shared.settings.entry.callers()
+    }
+
     /// Requests that run.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -44,6 +44,8 @@
     pub cores: f64,
     /// Its link, in megabits a second.
     pub link: f64,
+    /// File descriptors that it may have open.
+    pub files: usize,
 }
 
 /// Processor time that the daemon spends on a leaf call, everything counted:
@@ -52,7 +54,17 @@
 /// Megabits of a leaf call: a part of 1,000 bytes with its heads, both ways.
 const CALL_MEGABITS: f64 = 11.2e-3;
 
+/// Part of the descriptors that callers' connections may take. Leafs, the store
+/// and other entries need the rest.
+const CALLERS_PART: f64 = 0.6;
+
 impl RelayEntry {
+    /// Connections of callers that may be open.
+    #[must_use]
+    pub fn callers(&self) -> usize {
+        (self.files as f64 * CALLERS_PART) as usize
+    }
+
     /// Calls a second that the entry can carry: it works on one for as long as
     /// its processor and then its link take.
     #[must_use]
@@ -95,6 +107,9 @@
     pub part: f64,
     /// Calls on top of that part, within any window.
     pub slack: f64,
+    /// The window.
+    #[serde(with = "span")]
+    pub window: Duration,
 }
 
 impl ExtraCalls {
@@ -190,6 +205,14 @@
             let problem = "an entry without processor or link serves nobody".to_owned();
             return fail("entry", problem, "Write cores and link above 0.");
         }
+        if self.entry.files < FILES_MIN {
+            let problem = format!("{} are too few to serve anybody", self.entry.files);
+            return fail("entry.files", problem, "Write 300 or more.");
+        }
+        if self.extra.window.is_zero() {
+            let problem = "0 bounds nothing".to_owned();
+            return fail("extra.window", problem, "Write a span such as 10s.");
+        }
         if !(0.0..=1.0).contains(&self.extra.part) {
             let problem = format!("{} is out of range", self.extra.part);
             return fail("extra.part", problem, "Write a number from 0 to 1.");
@@ -214,6 +237,8 @@
     }
 }
 
+/// Fewest descriptors: some 200 are kept from sockets on the users' machines.
+const FILES_MIN: usize = 300;
 /// Most calls of slack; far above what any service takes.
 const SLACK_MAX: f64 = 1e6;
 /// Shortest grace: a stop needs time to be heard of.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -222,7 +222,7 @@
     for id in state.extra.purses.values() {
         if let Purse::Joint(budget) = state.table.purse(*id) {
             budget.set_share(extra.share());
-            budget.set_burst(slack);
+            budget.set_slack(slack, extra.window);
         }
     }
 }
@@ -386,7 +386,7 @@
     }
     let extra = state.extra.extra;
     let mut budget = Budget::empty(extra.share(), 1);
-    budget.set_burst(state.extra.allotment.slack(&extra));
+    budget.set_slack(state.extra.allotment.slack(&extra), extra.window);
     let id = state.table.add_purse(Purse::Joint(budget));
     state.extra.purses.insert(service.clone(), id);
     id
--- a/crates/relay/tests/allot.rs
+++ b/crates/relay/tests/allot.rs
@@ -23,6 +23,7 @@
     let extra = ExtraCalls {
         part: 0.2,
         slack: 52.0,
+        window: Duration::from_secs(10),
     };
     let of = |part| Allotment {
         carriers,
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -558,10 +558,10 @@
     /// Starts entry number `n`. The settings are those of a small deployment.
     pub async fn spawn(&self, n: u16) -> Relay {
         let text = format!(
-            "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\ncores = 0.25\nlink = 1000\n\
+            "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\ncores = 0.25\nlink = 1000\nfiles = 1024\n\
              [listen]\ncallers = \"10.0.0.{n}:1\"\nreadiness = \"10.0.0.{n}:2\"\n\
              directory = \"10.0.0.{n}:3\"\npeers = \"10.0.0.{n}:4\"\nmetrics = \"10.0.0.{n}:5\"\n\
-             [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\n\
+             [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\nwindow = \"10s\"\n\
              [times]\ngrace = \"6s\"\ndrain = \"3s\"\n"
         );
         let settings = RelaySettings::parse(&text, Path::new("entry.toml")).unwrap();
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -1,6 +1,8 @@
 //! Budgets of extra calls.
 
-use chestnut_unit::Share;
+use std::time::Duration;
+
+use chestnut_unit::{Share, Time};
 
 /// Extra calls allowed as a share of first calls.
 ///
@@ -13,6 +15,9 @@
     share: f64,
     burst: f64,
     tokens: f64,
+    /// Calls a second that come whatever is called.
+    rate: f64,
+    at: Time,
 }
 
 impl Budget {
@@ -29,6 +34,8 @@
             share: share.as_f64(),
             burst,
             tokens: burst,
+            rate: 0.0,
+            at: Time::ZERO,
         }
     }
 
@@ -48,10 +55,20 @@
         self.share = share.as_f64();
     }
 
-    /// Changes how many calls may be saved up; what is above is lost.
-    pub fn set_burst(&mut self, burst: f64) {
-        self.burst = burst;
-        self.tokens = self.tokens.min(burst);
+    /// Allows `slack` calls on top of the share in any `window`: half of them
+    /// may be saved up, and the other half comes over the window. What is saved
+    /// above that is lost.
+    pub fn set_slack(&mut self, slack: f64, window: Duration) {
+        self.burst = slack / 2.0;
+        self.rate = slack / 2.0 / window.as_secs_f64().max(1e-3);
+        self.tokens = self.tokens.min(self.burst);
+    }
+
+    /// Takes the passing of time.
+    pub fn pass(&mut self, now: Time) {
+        let earned = self.rate * now.since(self.at).as_secs_f64();
+        self.tokens = (self.tokens + earned).min(self.burst);
+        self.at = self.at.max(now);
     }
 
     /// Counts `calls` first calls.
--- a/crates/route/src/purse.rs
+++ b/crates/route/src/purse.rs
@@ -1,6 +1,6 @@
 //! Who pays for an extra call.
 
-use chestnut_unit::Share;
+use chestnut_unit::{Share, Time};
 
 use crate::{Budget, CallKind};
 
@@ -37,6 +37,13 @@
         }
     }
 
+    /// Takes the passing of time.
+    pub fn pass(&mut self, now: Time) {
+        if let Self::Joint(budget) = self {
+            budget.pass(now);
+        }
+    }
+
     /// Counts `calls` first calls.
     pub fn earn(&mut self, calls: usize) {
         match self {
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -147,6 +147,7 @@
         };
         let purse = self.routes.shards[self.shards[*first].route].purse;
         let purse = cx.table.purse(purse);
+        purse.pass(cx.now);
         if kind == CallKind::First {
             purse.earn(1);
         }
