--- /dev/null
+++ b/crates/relay/tests/world/store.rs
@@ -0,0 +1,291 @@
+//! A store with a book, leafs and adverts, that can fall silent.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use chestnut_book::RouteBook;
+use chestnut_flow::lock;
+use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
+use chestnut_relay::{Advert, Adverts, LeafEntry};
+use chestnut_unit::{LeafId, MemberId};
+use futures::{FutureExt, future::BoxFuture};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
+
+/// Whether the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answers {
+    Yes,
+    /// Calls, and the answers of watches under way, vanish.
+    Never,
+}
+
+#[derive(Default)]
+struct Stored {
+    revision: u64,
+    book: Option<(u64, RouteBook)>,
+    leafs: BTreeMap<LeafId, (u64, LeafEntry)>,
+    gone: Vec<(u64, LeafId)>,
+    adverts: BTreeMap<MemberId, Advert>,
+    silent: bool,
+    /// Raised by each silence; a watch from before it never answers.
+    silences: u64,
+    /// Watches to come whose answers vanish.
+    lost: usize,
+    calls: u64,
+}
+
+/// A store with a book, leafs and adverts.
+#[derive(Clone, Default)]
+pub struct FakeStore {
+    stored: Arc<Mutex<Stored>>,
+    changed: Arc<Notify>,
+}
+
+impl FakeStore {
+    pub fn put_book(&self, book: RouteBook) {
+        let mut stored = lock(&self.stored);
+        stored.revision += 1;
+        stored.book = Some((stored.revision, book));
+        self.changed.notify_waiters();
+    }
+
+    pub fn put_leaf(&self, id: &LeafId, entry: LeafEntry) {
+        let mut stored = lock(&self.stored);
+        stored.revision += 1;
+        let revision = stored.revision;
+        stored.leafs.insert(id.clone(), (revision, entry));
+        self.changed.notify_waiters();
+    }
+
+    pub fn drop_leaf(&self, id: &LeafId) {
+        let mut stored = lock(&self.stored);
+        stored.revision += 1;
+        let revision = stored.revision;
+        stored.leafs.remove(id);
+        stored.gone.push((revision, id.clone()));
+        self.changed.notify_waiters();
+    }
+
+    pub fn answers(&self, answers: Answers) {
+        let mut stored = lock(&self.stored);
+        stored.silent = answers == Answers::Never;
+        stored.silences += 1;
+        self.changed.notify_waiters();
+    }
+
+    /// Has the answers of the next watches vanish, though the store is there.
+    pub fn lose_watches(&self, count: usize) {
+        lock(&self.stored).lost = count;
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        lock(&self.stored).calls
+    }
+
+    /// Waits for ever if the store is silent.
+    async fn reach(&self) {
+        let silent = {
+            let mut stored = lock(&self.stored);
+            stored.calls += 1;
+            stored.silent
+        };
+        if silent {
+            // What the adapters make of silence: a timeout.
+            sleep(Duration::from_millis(800)).await;
+        }
+    }
+
+    async fn check(&self) -> Result<(), FeedError> {
+        self.reach().await;
+        match lock(&self.stored).silent {
+            true => Err(FeedError::Unavailable("silent".to_owned())),
+            false => Ok(()),
+        }
+    }
+
+    async fn until<T>(
+        &self,
+        wait: Duration,
+        find: impl Fn(&Stored) -> Option<T>,
+        none: impl Fn(&Stored) -> T,
+    ) -> T {
+        let end = Instant::now() + wait;
+        let lost = {
+            let mut stored = lock(&self.stored);
+            let lost = stored.lost > 0;
+            stored.lost = stored.lost.saturating_sub(1);
+            lost
+        };
+        if lost {
+            return futures::future::pending().await;
+        }
+        let silences = lock(&self.stored).silences;
+        loop {
+            let changed = self.changed.notified();
+            let found = {
+                let stored = lock(&self.stored);
+                if stored.silences != silences {
+                    None
+                } else if let Some(found) = find(&stored) {
+                    return found;
+                } else if Instant::now() >= end {
+                    return none(&stored);
+                } else {
+                    Some(())
+                }
+            };
+            if found.is_none() {
+                // The answer is lost: nothing ever comes.
+                return futures::future::pending().await;
+            }
+            tokio::select! {
+                () = changed => {}
+                () = tokio::time::sleep_until(end) => {}
+            }
+        }
+    }
+}
+
+impl Feed<RouteBook> for FakeStore {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
+        async move {
+            self.check().await?;
+            let stored = lock(&self.stored);
+            let item = |(_, book): &(u64, RouteBook)| Item {
+                name: "main".to_owned(),
+                value: Some(book.clone()),
+            };
+            Ok(Batch {
+                items: stored.book.iter().map(item).collect(),
+                revision: stored.revision,
+            })
+        }
+        .boxed()
+    }
+
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
+        async move {
+            self.check().await?;
+            Ok(lock(&self.stored).revision)
+        }
+        .boxed()
+    }
+
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
+        async move {
+            self.check().await?;
+            let find = |stored: &Stored| {
+                let (revision, book) = stored.book.as_ref()?;
+                (*revision > after).then(|| Batch {
+                    items: vec![Item {
+                        name: "main".to_owned(),
+                        value: Some(book.clone()),
+                    }],
+                    revision: stored.revision,
+                })
+            };
+            Ok(self.until(wait, find, nothing).await)
+        }
+        .boxed()
+    }
+}
+
+fn nothing<T>(stored: &Stored) -> Batch<T> {
+    Batch {
+        items: Vec::new(),
+        revision: stored.revision,
+    }
+}
+
+pub type LeafItem = (LeafId, LeafEntry);
+
+fn leaf_item(id: &LeafId, entry: &LeafEntry) -> Item<LeafItem> {
+    Item {
+        name: id.to_string(),
+        value: Some((id.clone(), entry.clone())),
+    }
+}
+
+impl Feed<LeafItem> for FakeStore {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<LeafItem>, FeedError>> {
+        async move {
+            self.check().await?;
+            let stored = lock(&self.stored);
+            let leafs = stored.leafs.iter();
+            Ok(Batch {
+                items: leafs.map(|(id, (_, entry))| leaf_item(id, entry)).collect(),
+                revision: stored.revision,
+            })
+        }
+        .boxed()
+    }
+
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
+        Feed::<RouteBook>::pulse(self)
+    }
+
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Batch<LeafItem>, FeedError>> {
+        async move {
+            self.check().await?;
+            let find = |stored: &Stored| {
+                let new = stored.leafs.iter().filter(|(_, (at, _))| *at > after);
+                let mut items: Vec<_> = new.map(|(id, (_, e))| leaf_item(id, e)).collect();
+                let gone = stored.gone.iter().filter(|(at, _)| *at > after);
+                items.extend(gone.map(|(_, id)| Item {
+                    name: id.to_string(),
+                    value: None,
+                }));
+                (!items.is_empty()).then_some(Batch {
+                    items,
+                    revision: stored.revision,
+                })
+            };
+            Ok(self.until(wait, find, nothing).await)
+        }
+        .boxed()
+    }
+}
+
+impl Adverts for FakeStore {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Vec<Advert>, FeedError>> {
+        async move {
+            self.check().await?;
+            Ok(lock(&self.stored).adverts.values().cloned().collect())
+        }
+        .boxed()
+    }
+
+    fn publish(&self, advert: Advert) -> BoxFuture<'_, Result<(), FeedError>> {
+        async move {
+            self.check().await?;
+            let member = advert.member.clone();
+            lock(&self.stored).adverts.insert(member, advert);
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn remove(&self, member: MemberId) -> BoxFuture<'_, Result<(), FeedError>> {
+        async move {
+            self.check().await?;
+            lock(&self.stored).adverts.remove(&member);
+            Ok(())
+        }
+        .boxed()
+    }
+}
