Believe a member again whose clock jumped back

Found by reading: the number of a life is the time of its start. A machine whose time of day ran ahead, left in an orderly way and came back with its clock behind counted as leaving for good, and no caller was sent there again. A member that speaks with a number below one that is known is told, and takes a number above it; entries with tickets keep theirs, as tickets are bound to it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,5 +29,5 @@
 pub use holder::{HolderPlan, Ranked, holders_wanted, watchers_of};
 pub use member::{Addresses, Heir, Liveness, Member};
 pub use news::News;
-pub use swim::{Probe, ProbeKind, Send, Status, Swim, SwimConfig};
+pub use swim::{Lives, Probe, ProbeKind, Send, Status, Swim, SwimConfig};
 pub use view::{Change, View};
--- a/crates/fleet/src/swim/mod.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -5,7 +5,7 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use chestnut_conf::BookDigest;
-use chestnut_unit::{MemberId, Time};
+use chestnut_unit::{Incarnation, MemberId, Time};
 use rand::Rng;
 
 use crate::{Change, Heir, Liveness, Member, News, View};
@@ -20,6 +20,19 @@
     /// Statements in one message. Eight keep a message under 1,200 bytes, so
     /// that it is never fragmented.
     pub news: usize,
+    /// What a member does that hears of a later life of its own name.
+    pub lives: Lives,
+}
+
+/// What a member does that hears of a later life of its own name. That life was
+/// an earlier one whose clock was ahead: a machine's time of day may jump, and
+/// the number of a life is the time of its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lives {
+    /// It keeps its number: something else is bound to it, such as tickets.
+    Kept,
+    /// It takes a number above the one that it heard of.
+    Raised,
 }
 
 impl Default for SwimConfig {
@@ -28,6 +41,7 @@
             interval: Duration::from_millis(500),
             helpers: 3,
             news: 8,
+            lives: Lives::Kept,
         }
     }
 }
@@ -278,6 +292,7 @@
             ProbeKind::Ping => {
                 let mut ack = self.message(ProbeKind::Ack, probe.seq, status);
                 self.tell_it(&probe.from.id, &mut ack);
+                self.tell_later_life(&probe.from, &mut ack);
                 out.push(Send {
                     to: from,
                     probe: ack,
@@ -333,6 +348,12 @@
     /// too, as the present life overrides it.
     fn refute(&mut self, said: &Member) {
         let own = self.view.own();
+        if said.incarnation > own.incarnation && self.config.lives == Lives::Raised {
+            let life = Incarnation(said.incarnation.0 + 1);
+            self.view.change_own(|own| own.incarnation = life);
+            self.news.add(self.view.own().clone());
+            return;
+        }
         if said.incarnation != own.incarnation || said.liveness == Liveness::Alive {
             return;
         }
--- a/crates/fleet/src/swim/probing.rs
+++ b/crates/fleet/src/swim/probing.rs
@@ -68,6 +68,21 @@
         }
     }
 
+    /// Tells a member of a later life of its name. Until it takes a greater
+    /// number nobody believes what it says of itself: one that left and came
+    /// back with its clock behind would count as leaving for good.
+    pub(super) fn tell_later_life(&self, to: &Member, probe: &mut Probe) {
+        let held = self
+            .view
+            .get(&to.id)
+            .filter(|m| m.incarnation > to.incarnation);
+        if let Some(member) = held
+            && !probe.news.iter().any(|said| said.id == to.id)
+        {
+            probe.news.push(member.clone());
+        }
+    }
+
     /// The next member of a shuffled round, so that each is probed once in
     /// every round and the time to notice a death is bounded.
     pub(super) fn next_target(&mut self, rng: &mut dyn Rng) -> Option<MemberId> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,4 +38,4 @@
 pub use settings::{ExtraCalls, RelayEntry, RelayListen, RelaySettings, StoreSettings, Times};
 pub use shared::Phase;
 pub use source::FeedPeers;
-pub use upstream::{Choice as UpstreamChoice, Upstream};
+pub use upstream::{Upstream, UpstreamChoice};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -11,7 +11,8 @@
 };
 
 use chestnut_fleet::{
-    Addresses, Candidate, Change, Liveness, Member, Probe, Send, Status, Swim, SwimConfig, carriers,
+    Addresses, Candidate, Change, Liveness, Lives, Member, Probe, Send, Status, Swim, SwimConfig,
+    carriers,
 };
 use chestnut_flow::lock;
 use chestnut_port::{FeedError, Freshness, Probes};
@@ -79,7 +80,11 @@
             Incarnation(shared.host.clock.wall().0),
         );
         own.weight = settings.entry.weight();
-        let swim = Swim::new(SwimConfig::default(), own, shared.now());
+        let config = SwimConfig {
+            lives: Lives::Raised,
+            ..SwimConfig::default()
+        };
+        let swim = Swim::new(config, own, shared.now());
         Self {
             swim: Mutex::new(swim),
             rate: Mutex::new(Rate::default()),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -28,7 +28,7 @@
     pass::Passed,
     pulse::Pulse,
     settings::{ExtraCalls, RelaySettings, Times},
-    upstream::{Choice as UpstreamChoice, Upstream},
+    upstream::{Upstream, UpstreamChoice},
 };
 
 /// Where an entry is in its life.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -31,17 +31,17 @@
 ///
 /// The strongest entry of each failure domain watches the store and passes on
 /// what it hears; the others follow it, or the second strongest if it does not
-/// answer. So the store's calls
-/// grow with the failure domains and not with the entries. An entry that finds
-/// nobody to follow watches the store itself, so losing all watchers costs a
-/// moment and no change. Entries that follow pass nothing on: two that took
-/// each other for watchers would hear nothing and miss nothing.
+/// answer. So the store's calls grow with the failure domains and not with the
+/// entries. An entry that finds nobody to follow watches the store itself, so
+/// losing all watchers costs a moment and no change. Entries that follow pass
+/// nothing on: two that took each other for watchers would hear nothing and miss
+/// nothing.
 #[derive(Clone, Debug, Default)]
-pub struct Choice {
+pub struct UpstreamChoice {
     bad: BTreeMap<SocketAddr, Time>,
 }
 
-impl Choice {
+impl UpstreamChoice {
     /// Takes it that a peer did not answer, or has lost the store itself.
     pub fn failed(&mut self, peer: SocketAddr, age: Duration, now: Time) {
         let span = if age < SEEDS_SPAN {
