--- a/crates/fleet/tests/lives.rs
+++ b/crates/fleet/tests/lives.rs
@@ -59,6 +59,16 @@
     exchange(&mut old, &mut other, knock, now);
     let id = MemberId::new("it").unwrap();
     assert!(!other.view.get(&id).unwrap().takes_work());
+    // The news of it has long been passed on when the new life starts.
+    let asks = old
+        .knock(other.view.own().addresses.peers, Status::default())
+        .probe;
+    let mut out = Vec::new();
+    for _ in 0..20 {
+        let from = old.view.own().addresses.peers;
+        other.receive(&asks, from, Status::default(), now, &mut out);
+    }
+    assert_eq!(other.news_waiting(), 0);
 
     let mut new = swim(member("it", 2, 60));
     let knock = new
