Keep windows of calls at leafs, and hold what lacks room before its first call

The logs show why: a shard had one leaf left, all connections this entry may open there were in use, and the first call that found none failed its whole request after 35 calls to other leafs had been sent. Connections are several times the slots, so those that did get one waited in the leaf's queue past the goal.

Now each leaf has a window of calls under way (additive increase, multiplicative decrease, between this entry's part of the slots and its connections). A shard whose leafs have no room waits for it; a request that can't reach its least share for want of room waits before its first call, or is refused at once if the wait would be too long, and its refusal is a true 'not run'. A shed call that the budget doesn't pay waits for it until the goal where other shards would be thrown away. Retry-After follows the time that the caller has, spread.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use chestnut_book::{Kind, RouteBook};
+use chestnut_book::Kind;
 use chestnut_flow::{Calls, Flying, Parts, Start, lock};
 use chestnut_port::{LeafCall, LeafFailure, LeafReply, Message};
 use chestnut_route::{Eviction, Failure};
@@ -14,13 +14,9 @@
 
 use crate::shared::{Ground, Shared};
 
-/// Connections that a leaf takes from all entries where the book says nothing of its service.
-const CONNECTIONS: usize = 8;
-
 /// A forwarded request and what its calls brought beside answers.
 pub(crate) struct Forwarded<'a> {
     pub(crate) shared: &'a Shared,
-    pub(crate) book: &'a RouteBook,
     pub(crate) message: Arc<Message>,
     pub(crate) kind: Kind,
     /// The last failure that a leaf answered with, to pass on if nothing
@@ -42,24 +38,22 @@
     }
 
     fn call(&self, start: Start<'_>) -> Flying<LeafReply> {
-        let (place, allotment) = {
+        let place = {
             let state = lock(&self.shared.cell.state);
             let place = state.extra.places.get(&start.to).cloned();
-            (place, state.extra.allotment)
+            place.map(|place| (state.extra.connections(&place.service), place))
         };
         self.shared.calls.fetch_add(1, Ordering::Relaxed);
         self.shared.metrics.count_call(start.kind);
-        let Some(place) = place else {
+        let Some((connections, place)) = place else {
             return async { Err(Failure::NotSent) }.boxed();
         };
-        let rule = self.book.service(&place.service);
-        let most = rule.map_or(CONNECTIONS, |rule| rule.connections);
         let call = LeafCall {
             leaf: place.leaf,
             address: place.address,
             message: self.message.clone(),
             left: start.left,
-            connections: allotment.connections(most),
+            connections,
             idle: match self.kind {
                 Kind::Idempotent => Duration::MAX,
                 Kind::Once => IDLE_ONCE,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use chestnut_book::{Kind, RouteBook, Rule, Target, greatest};
+use chestnut_book::{Kind, Rule, Target, greatest};
 use chestnut_flow::{InFlight, Running, admit, lock, run};
 use chestnut_port::{LeafReply, Message};
 use chestnut_route::{End, Give, Ix, Order, Query, QueryConfig, Repeat, Yields};
@@ -78,9 +78,14 @@
 /// When to come back to an entry that is starting: it mostly needs well under
 /// a second to read the book and the leafs.
 const AFTER_START: Duration = Duration::from_millis(500);
-/// When to come back after leafs refused or none was there. Long enough for a
-/// slot to come free, short beside the time that callers have.
-const AFTER_REFUSAL: Duration = Duration::from_millis(150);
+/// When to come back after leafs refused or none was there, as part of the time
+/// that the caller had: late enough that a burst or a pause may have passed,
+/// early enough for a second try as long as the first could have been.
+const AFTER_PART: u32 = 4;
+/// Bounds of it. A slot comes free within the least; few callers stay for more
+/// than the most.
+const AFTER_MIN: Duration = Duration::from_millis(50);
+const AFTER_MAX: Duration = Duration::from_secs(1);
 /// Time that an answer needs to its caller, and its request from there: taken
 /// off the goal, so that what is cut short to be in time is in time there.
 const CALLER_TRIP: Duration = Duration::from_millis(16);
@@ -158,20 +163,20 @@
         },
         class,
     };
-    let forwarded = forwarded(shared, &book, &rule, ask);
+    let forwarded = forwarded(shared, &rule, ask);
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
     account.calls = query.calls();
     account.coverage = Some(query.coverage());
     account.in_vain = names(shared, &query.in_vain());
     finish(running, &query);
     let failed = lock(&forwarded.failed).take();
-    reply(&rule, query, failed)
+    let after = come_back(span, shared.host.rng().next_u64());
+    reply(&rule, query, failed, after)
 }
 
-fn forwarded<'a>(shared: &'a Shared, book: &'a RouteBook, rule: &Rule, ask: &Ask) -> Forwarded<'a> {
+fn forwarded<'a>(shared: &'a Shared, rule: &Rule, ask: &Ask) -> Forwarded<'a> {
     Forwarded {
         shared,
-        book,
         message: ask.message.clone(),
         kind: rule.kind,
         failed: Arc::new(Mutex::new(None)),
@@ -211,14 +216,15 @@
     rule: &Rule,
     query: Query<LeafReply>,
     failed: Option<LeafReply>,
+    after: Duration,
 ) -> Result<Reply, Declined> {
     let coverage = query.coverage();
     let covered = coverage.answered > 0 && coverage.reaches(least(rule));
     match (&rule.target, failed) {
         (Target::Gather { top, .. }, _) if covered => Ok(merge(*top, coverage, query)),
-        (Target::Gather { .. }, _) => Err(given_up(&query)),
+        (Target::Gather { .. }, _) => Err(given_up(&query, after)),
         (Target::One(_) | Target::Split(_), failed) => {
-            let declined = given_up(&query);
+            let declined = given_up(&query, after);
             let answer = query.into_parts().next().map(|(_, reply)| reply);
             match answer.or(failed) {
                 Some(reply) => Ok(Reply::Whole(reply)),
@@ -240,13 +246,14 @@
 
 /// Why a query that covers too little was given up. "Not run" needs the proof
 /// that no call of it could have run.
-fn given_up(query: &Query<LeafReply>) -> Declined {
+fn given_up(query: &Query<LeafReply>, after: Duration) -> Declined {
     if query.not_run().is_some() {
         let reason = match query.end() {
             Some(End::Partial(Give::Deadline)) => Reason::Deadline,
+            Some(End::Partial(Give::Full)) => Reason::Overload,
             _ => Reason::TargetRefused,
         };
-        return unrun(Why::Declined(reason), Some(AFTER_REFUSAL));
+        return unrun(Why::Declined(reason), Some(after));
     }
     let why = match query.end() {
         Some(End::Partial(Give::Deadline)) => Why::Timeout,
@@ -259,6 +266,14 @@
     }
 }
 
+/// When a caller that had `span` should come back: from half to one and a half
+/// times the usual, by `draw`, so that callers refused together don't return
+/// together.
+fn come_back(span: Duration, draw: u64) -> Duration {
+    let base = (span / AFTER_PART).clamp(AFTER_MIN, AFTER_MAX);
+    base.mul_f64(0.5 + draw as f64 / u64::MAX as f64)
+}
+
 fn unrun(why: Why, after: Option<Duration>) -> Declined {
     Declined {
         why,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -14,8 +14,8 @@
 use chestnut_flow::{Cell, GateId, Host, lock};
 use chestnut_port::Forward;
 use chestnut_route::{
-    Adapt, Admission, AdmitConfig, Backend, Budget, Choice, Class, Ix, Purse, PurseId, Route,
-    Routes, Table, TableConfig,
+    Adapt, Admission, AdmitConfig, Backend, Bounds, Budget, Choice, Class, Ix, Purse, PurseId,
+    Route, Routes, Table, TableConfig,
 };
 use chestnut_unit::{IndexVersion, LeafId, RequestId, ServiceName, ShardName, Snapshot, Time};
 use slog::info;
@@ -48,6 +48,24 @@
     pub(crate) leaf: LeafId,
     pub(crate) address: SocketAddr,
     pub(crate) service: ServiceName,
+    slots: u32,
+}
+
+/// Connections that a leaf takes from all entries where the book says nothing of its service.
+const CONNECTIONS: usize = 8;
+
+impl Ground {
+    /// Connections that may be open from here to a leaf of `service`.
+    pub(crate) fn connections(&self, service: &ServiceName) -> usize {
+        let rule = self.book.as_ref().and_then(|book| book.service(service));
+        let most = rule.map_or(CONNECTIONS, |rule| rule.connections);
+        self.allotment.connections(most)
+    }
+
+    fn bounds(&self, place: &Place) -> Bounds {
+        let connections = self.connections(&place.service);
+        Bounds::share(place.slots, self.allotment.carriers, connections)
+    }
 }
 
 /// What is kept for one rule, by its name: it outlives versions of the book.
@@ -188,6 +206,7 @@
             stays
         });
         ground.book = Some(Arc::new(book));
+        set_bounds(&mut state);
         true
     }
 
@@ -210,11 +229,19 @@
         }
         state.extra.allotment = allotment;
         set_budgets(state);
+        set_bounds(state);
         info!(self.host.log, "fleet: {} carriers, {} others", allotment.carriers, allotment.others;
             "this" => format!("{:?}", allotment.part));
     }
 }
 
+/// Sets how many calls may be under way at each leaf.
+fn set_bounds(state: &mut State) {
+    for (ix, place) in &state.extra.places {
+        state.table.set_bounds(*ix, state.extra.bounds(place));
+    }
+}
+
 /// Sets all budgets by the bound on extra calls and this entry's part of it.
 fn set_budgets(state: &mut State) {
     let extra = state.extra.extra;
@@ -273,7 +300,9 @@
         leaf: id.clone(),
         address: entry.address,
         service: entry.service.clone(),
+        slots: entry.slots,
     };
+    state.table.set_bounds(ix, state.extra.bounds(&place));
     state.extra.places.insert(ix, place);
     set_doubt(state, id, false);
 }
@@ -300,6 +329,7 @@
 /// Finds where a request of `rule` goes now.
 pub(crate) fn plan(state: &mut State, rule: &Rule, draw: u64) -> Plan {
     let class = class_of(state, rule);
+    state.table.set_goal(class, rule.goal);
     let services = match &rule.target {
         Target::One(service) => vec![service.clone()],
         Target::Split(parts) => vec![turn(state, rule, parts, draw)],
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -13,7 +13,10 @@
 use chestnut_unit::LeafId;
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{Response, header::HeaderValue};
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, sleep},
+};
 
 /// How a leaf behaves.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -45,6 +48,10 @@
     manners: BTreeMap<LeafId, Manner>,
     got: Vec<Got>,
     cancelled: usize,
+    /// Calls under way, by leaf.
+    live: BTreeMap<LeafId, usize>,
+    /// Slots of leafs that run calls one after the other beyond them.
+    slots: BTreeMap<LeafId, Arc<Semaphore>>,
 }
 
 /// Leafs behind the port by which requests are forwarded.
@@ -56,6 +63,12 @@
         lock(&self.0).manners.insert(leaf.clone(), manner);
     }
 
+    /// Has a leaf run `slots` calls at once; more wait.
+    pub fn set_slots(&self, leaf: &LeafId, slots: usize) {
+        let slots = Arc::new(Semaphore::new(slots));
+        lock(&self.0).slots.insert(leaf.clone(), slots);
+    }
+
     pub fn got(&self) -> Vec<Got> {
         lock(&self.0).got.clone()
     }
@@ -66,12 +79,19 @@
     }
 }
 
-struct Under(FakeLeafs, bool);
+/// A call under way.
+struct Under {
+    leafs: FakeLeafs,
+    leaf: LeafId,
+    ended: bool,
+}
 
 impl Drop for Under {
     fn drop(&mut self) {
-        if !self.1 {
-            lock(&self.0.0).cancelled += 1;
+        let mut world = lock(&self.leafs.0);
+        world.cancelled += usize::from(!self.ended);
+        if let Some(live) = world.live.get_mut(&self.leaf) {
+            *live -= 1;
         }
     }
 }
@@ -89,8 +109,13 @@
     fn call(&self, call: LeafCall) -> BoxFuture<'static, Result<LeafReply, LeafFailure>> {
         let this = self.clone();
         async move {
-            let manner = {
+            let (manner, slots) = {
                 let mut world = lock(&this.0);
+                let live = world.live.entry(call.leaf.clone()).or_default();
+                if *live >= call.connections {
+                    return Err(LeafFailure::Refused(Refusal::Connections));
+                }
+                *live += 1;
                 world.got.push(Got {
                     leaf: call.leaf.clone(),
                     request: call.message.id.clone(),
@@ -98,11 +123,20 @@
                     left: call.left,
                     connections: call.connections,
                 });
-                world.manners.get(&call.leaf).cloned()
+                let manner = world.manners.get(&call.leaf).cloned();
+                (manner, world.slots.get(&call.leaf).cloned())
+            };
+            let mut under = Under {
+                leafs: this,
+                leaf: call.leaf.clone(),
+                ended: false,
             };
-            let mut under = Under(this, false);
             let result = match manner {
                 Some(Manner::Answers(span, body)) => {
+                    let _slot = match &slots {
+                        Some(slots) => slots.acquire().await.ok(),
+                        None => None,
+                    };
                     sleep(span).await;
                     Ok(leaf_reply(&call.leaf, 200, body))
                 }
@@ -119,7 +153,7 @@
                 }
                 None => Err(LeafFailure::Unsent),
             };
-            under.1 = true;
+            under.ended = true;
             result
         }
         .boxed()
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -53,8 +53,8 @@
 }
 
 /// The replica of `replicas` that gets the next call for `version`. Those in
-/// `tried`, those that are leaving and those that lack the snapshot are never
-/// chosen.
+/// `tried`, those that are leaving, those that lack the snapshot and those
+/// without room are never chosen.
 pub fn choose_replica(
     table: &mut Table,
     replicas: &[Ix],
@@ -63,28 +63,41 @@
     now: Time,
     rng: &mut dyn Rng,
 ) -> Option<Ix> {
+    let tiers = tiers(table, replicas, tried, version, now);
+    let best = tiers.into_iter().find(|tier| !tier.is_empty())?;
+    // Where the best ones have no room, waiting for one of them is better than
+    // calling one that rests or leaves.
+    let among: Vec<Ix> = best.into_iter().filter(|ix| table.has_room(*ix)).collect();
+    pick(table, &among, now, rng)
+}
+
+/// The replicas that may be called, the best first: those that are sound, all
+/// that are not leaving, all. A replica that rests is better than one that is
+/// leaving: the latter may end at any moment, and must be left alone soon.
+pub(crate) fn tiers(
+    table: &Table,
+    replicas: &[Ix],
+    tried: &[Ix],
+    version: IndexVersion,
+    now: Time,
+) -> [Vec<Ix>; 3] {
     let evicted = evicted_among(table, replicas, now);
     let open: Vec<Ix> = replicas
         .iter()
         .copied()
         .filter(|ix| !tried.contains(ix) && table.is_open(*ix, version, now))
         .collect();
-    let fit: Vec<Ix> = open
+    let sure: Vec<Ix> = open
         .iter()
         .copied()
-        .filter(|ix| !evicted.contains(ix) && !table.is_resting(*ix, now))
         .filter(|ix| !table.is_doubted(*ix))
         .collect();
-    let sure: Vec<Ix> = open
+    let sound: Vec<Ix> = sure
         .iter()
         .copied()
-        .filter(|ix| !table.is_doubted(*ix))
+        .filter(|ix| !evicted.contains(ix) && !table.is_resting(*ix, now))
         .collect();
-    // A replica that rests is better than one that is leaving: the latter may
-    // end at any moment, and must be left alone soon.
-    let tiers = [&fit, &sure, &open];
-    let among = tiers.into_iter().find(|tier| !tier.is_empty())?;
-    pick(table, among, now, rng)
+    [sound, sure, open]
 }
 
 fn pick(table: &mut Table, among: &[Ix], now: Time, rng: &mut dyn Rng) -> Option<Ix> {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -43,8 +43,10 @@
 mod profile;
 mod purse;
 mod query;
+mod room;
 mod table;
 mod versions;
+mod window;
 
 pub use admit::{Adapt, Admission, AdmitConfig, Decision, Order, Release, Yields};
 pub use attempt::{Attempt, Ended, Fate, NotRun, Planned, Queued, Sent};
@@ -64,3 +66,4 @@
 pub use query::{Action, CallId, CallKind, Context, End, Give, Query, QueryConfig, Repeat};
 pub use table::{Eviction, Table};
 pub use versions::{Route, Routes, Versions};
+pub use window::{Bounds, Window};
--- a/crates/route/src/profile.rs
+++ b/crates/route/src/profile.rs
@@ -1,5 +1,7 @@
 //! What calls of one class take.
 
+use std::time::Duration;
+
 use crate::Quantiles;
 
 /// A class of calls that take about as long: the calls of one route. A table
@@ -25,6 +27,8 @@
     pub calls: Quantiles,
     /// By how much they outlasted what was expected of their back end.
     pub excess: Quantiles,
+    /// Within what time callers want the answers, if that is known.
+    pub goal: Option<Duration>,
 }
 
 impl Default for Profile {
@@ -32,6 +36,7 @@
         Self {
             calls: Quantiles::new(LATE_QUANTILE),
             excess: Quantiles::new(LATE_QUANTILE),
+            goal: None,
         }
     }
 }
--- a/crates/route/src/query/closing.rs
+++ b/crates/route/src/query/closing.rs
@@ -94,6 +94,7 @@
 
     pub(super) fn finish(&mut self, end: End, cx: &mut Context<'_>) {
         self.end = Some(end);
+        self.let_go(cx);
         for number in 0..self.calls.len() {
             self.cancel(CallId(number as u32), cx);
         }
--- a/crates/route/src/query/config.rs
+++ b/crates/route/src/query/config.rs
@@ -68,6 +68,8 @@
     Deadline,
     /// A shard has no replica left to try, or no budget to try it.
     NoReplica,
+    /// Too many shards have only back ends without room, and no call was made.
+    Full,
     /// A shard's replicas no longer have the snapshot.
     SnapshotLost,
     /// The answer covers the least share, and the time within which callers
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -3,6 +3,7 @@
 mod closing;
 mod config;
 mod tries;
+mod wait;
 
 use std::{sync::Arc, time::Duration};
 
@@ -10,8 +11,9 @@
 pub use config::{Action, CallId, CallKind, End, Give, QueryConfig, Repeat};
 use rand::Rng;
 use tries::kind_after;
+use wait::Later;
 
-use crate::{Attempt, Ended, Failure, Ix, NotRun, Refusal, Routes, Sent, Table};
+use crate::{Attempt, Ended, Failure, Ix, NotRun, PurseId, Refusal, Routes, Sent, Table};
 
 /// Time that an answer needs from a back end to the caller of the decision,
 /// taken off the deadline at each hop.
@@ -28,8 +30,9 @@
     /// Calls that asked for it.
     calls: Vec<CallId>,
     due: Time,
-    /// When a shard that every replica shed is tried again.
-    again: Option<Time>,
+    /// A call that waits: for room, for the budget, or after every replica
+    /// shed one.
+    later: Option<Later>,
     rested: bool,
 }
 
@@ -66,6 +69,9 @@
     calls: Vec<Call>,
     ends: Vec<Ended>,
     pending: usize,
+    start: Time,
+    /// What a query waits for that has made no call yet.
+    held: Option<PurseId>,
     look: Time,
     /// Half of the time to the deadline: from here on what is missing may be
     /// hedged however much it is, as far as the budget goes.
@@ -96,6 +102,8 @@
             config,
             calls: Vec::new(),
             ends: Vec::new(),
+            start: cx.now,
+            held: None,
             look: Time::MAX,
             half: cx.now + config.deadline.since(cx.now) / 2,
             first: 0,
@@ -112,10 +120,7 @@
             query.end = Some(End::Partial(query.why(&closed, cx)));
             return query;
         }
-        let every: Vec<usize> = (0..query.shards.len()).collect();
-        query.call(&every, CallKind::First, cx);
-        query.first = query.calls.len();
-        query.settle(cx);
+        query.begin(cx);
         query
     }
 
@@ -179,12 +184,18 @@
             self.finish(End::Partial(Give::Deadline), cx);
             return;
         }
+        if self.held.is_some() {
+            if cx.now >= self.look {
+                self.begin(cx);
+            }
+            return;
+        }
         self.goal_seen |= cx.now >= self.config.goal;
         if self.is_enough(cx.now) {
             self.finish(End::Partial(Give::Enough), cx);
             return;
         }
-        self.try_again(cx);
+        self.call_waiting(cx);
         if self.end.is_none() && cx.now >= self.look {
             self.hedge(cx);
         }
@@ -208,7 +219,8 @@
     /// When [`Query::tick`] has something to do next.
     #[must_use]
     pub fn wake(&self) -> Time {
-        let waits = self.config.goal < self.config.deadline && !self.goal_seen;
+        let begun = self.held.is_none();
+        let waits = begun && self.config.goal < self.config.deadline && !self.goal_seen;
         let goal = if waits { self.config.goal } else { Time::MAX };
         self.look.min(self.config.deadline).min(goal)
     }
@@ -330,9 +342,14 @@
 }
 
 impl<P> Shard<P> {
+    /// When the shard has to be looked at next.
+    fn next(&self) -> Time {
+        self.later.map_or(self.due, |later| later.at)
+    }
+
     /// Whether the shard has no part, no call under way and none to come.
     fn is_hopeless(&self) -> bool {
-        self.part.is_none() && self.live == 0 && self.again.is_none()
+        self.part.is_none() && self.live == 0 && self.later.is_none()
     }
 
     fn new(route: usize) -> Self {
@@ -344,7 +361,7 @@
             ran: 0,
             calls: Vec::new(),
             due: Time::MAX,
-            again: None,
+            later: None,
             rested: false,
         }
     }
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -4,7 +4,9 @@
 
 use chestnut_unit::Time;
 
-use super::{Action, Call, CallId, CallKind, Context, HOP, Life, Query, Repeat, Shard};
+use super::{
+    Action, Call, CallId, CallKind, Context, HOP, Life, Query, Repeat, Shard, wait::ROUNDS,
+};
 use crate::{Attempt, Failure, Hedge, Ix, Refusal, choose::choose_replica};
 
 /// Time after which late shards that could not be hedged are looked at again.
@@ -22,40 +24,6 @@
         }
     }
 
-    /// Has shards that every replica shed tried again after a rest, in which a
-    /// slot may come free.
-    pub(super) fn rest(&mut self, orphans: &[usize], cx: &mut Context<'_>) {
-        let at = cx.now + SHED_REST;
-        if at + HOP >= self.config.deadline {
-            return;
-        }
-        for position in orphans {
-            let shard = &mut self.shards[*position];
-            let replicas = self.routes.shards[shard.route].replicas.len();
-            if shard.live == 0 && shard.tried.len() < replicas * ROUNDS {
-                shard.again = Some(at);
-                self.look = self.look.min(at);
-            }
-        }
-    }
-
-    /// Calls the shards whose rest is over.
-    pub(super) fn try_again(&mut self, cx: &mut Context<'_>) {
-        let rested: Vec<usize> = (0..self.shards.len())
-            .filter(|p| self.shards[*p].again.is_some_and(|at| at <= cx.now))
-            .collect();
-        if rested.is_empty() {
-            return;
-        }
-        for position in &rested {
-            self.shards[*position].again = None;
-            self.shards[*position].rested = true;
-        }
-        self.call(&rested, CallKind::Reshed, cx);
-        self.stuck = true;
-        self.settle(cx);
-    }
-
     /// Calls a second replica for the shards that are late, and sets the time
     /// of the next look. The delays are fixed when a call is sent: were they
     /// worked out anew at each look, a small rise in between would make late
@@ -105,19 +73,20 @@
     pub(super) fn next_due(&self, now: Time) -> Time {
         let pending = self.shards.iter().filter(|shard| shard.part.is_none());
         pending
-            .map(|shard| shard.again.unwrap_or(shard.due).max(now + LOOK_AGAIN))
+            .map(|shard| shard.next().max(now + LOOK_AGAIN))
             .min()
             .unwrap_or(Time::MAX)
     }
 
     /// Chooses a replica for each shard and makes one call to each replica
-    /// chosen. A shard without a replica, or whose call no budget pays, gets
-    /// none.
+    /// chosen. A shard without a replica gets none; one whose replicas have no
+    /// room, or whose call no budget pays, waits.
     pub(super) fn call(&mut self, positions: &[usize], kind: CallKind, cx: &mut Context<'_>) {
         let mut plan: BTreeMap<Ix, Vec<usize>> = BTreeMap::new();
         for position in positions {
-            if let Some(to) = self.choose_for(*position, kind, cx) {
-                plan.entry(to).or_default().push(*position);
+            match self.choose_for(*position, kind, cx) {
+                Some(to) => plan.entry(to).or_default().push(*position),
+                None => self.wait_for_room(*position, kind, cx),
             }
         }
         if kind == CallKind::First {
@@ -127,6 +96,8 @@
         for (to, shards) in plan {
             if self.pay(kind, &shards, cx) {
                 self.send(to, shards, kind, cx);
+            } else {
+                self.wait_for_budget(&shards, kind, cx);
             }
         }
     }
@@ -272,15 +243,9 @@
 const HEDGE_ROOM: f64 = 1.5;
 /// Least delay of a hedge, in median calls.
 const HEDGE_LEAST: f64 = 1.5;
-/// Rest of a shard that every replica shed: about a call, so that a slot has
-/// come free.
-const SHED_REST: Duration = Duration::from_millis(4);
-/// Times that each replica of a shard may be called for one query.
-const ROUNDS: usize = 2;
-
 /// Whether a shard of which every replica was tried may be tried once more:
 /// to make good a call that failed, and after a rest if it was shed.
-fn may_repeat<P>(kind: CallKind, shard: &Shard<P>, replicas: &[Ix]) -> bool {
+pub(super) fn may_repeat<P>(kind: CallKind, shard: &Shard<P>, replicas: &[Ix]) -> bool {
     let repairs = match kind {
         CallKind::Retry | CallKind::Reroute => true,
         CallKind::Reshed => shard.rested,
--- /dev/null
+++ b/crates/route/src/query/wait.rs
@@ -0,0 +1,191 @@
+//! Shards, and whole queries, that wait for room at their back ends.
+
+use std::time::Duration;
+
+use chestnut_unit::Time;
+
+use super::{CallKind, Context, End, Give, HOP, Query, tries::may_repeat};
+use crate::{Ix, PurseId};
+
+/// First wait for room: about what a slot of a busy back end takes to come
+/// free (5 slots, calls of 28 ms).
+const ROOM_LOOK: Duration = Duration::from_millis(4);
+/// Later waits, as part of the time since the start: a request that waited for
+/// 60 ms looked twelve times, and one that will be late anyway leaves the room
+/// to those that may still be in time.
+const ROOM_PART: u32 = 4;
+/// Part of the time to the goal for which a query waits before its first call:
+/// the calls need the rest. A query that would wait longer, by what waits
+/// already and how fast places come free, is given up at once.
+const HOLD_PART: u32 = 2;
+/// Rest of a shard that every replica shed: about a call, so that a slot has
+/// come free.
+const SHED_REST: Duration = Duration::from_millis(4);
+/// Times that each replica of a shard may be called for one query.
+pub(super) const ROUNDS: usize = 2;
+
+/// What a query waits for before its first call.
+struct Lack {
+    /// The budget of the shard, which names its service.
+    purse: PurseId,
+    /// Calls a second that the shard's back ends take from here.
+    rate: f64,
+}
+
+/// A call that is to be made later.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Later {
+    pub(super) at: Time,
+    pub(super) kind: CallKind,
+}
+
+impl<P> Query<P> {
+    /// Makes the first calls if enough shards have a back end with room to
+    /// reach the least share. Otherwise the query waits a while without making
+    /// any: calls to the shards that have room would be for nothing.
+    pub(super) fn begin(&mut self, cx: &mut Context<'_>) {
+        if let Some(lack) = self.lack(cx) {
+            self.hold(lack, cx);
+            return;
+        }
+        self.let_go(cx);
+        self.look = Time::MAX;
+        let every: Vec<usize> = (0..self.shards.len()).collect();
+        self.call(&every, CallKind::First, cx);
+        self.first = self.calls.len();
+        self.settle(cx);
+    }
+
+    /// What the query lacks to reach the least share, if anything: of the shards
+    /// without room that it needs, the one that is slowest to have some.
+    fn lack(&self, cx: &Context<'_>) -> Option<Lack> {
+        let version = self.version();
+        let mut full: Vec<Lack> = Vec::new();
+        for shard in &self.shards {
+            let route = &self.routes.shards[shard.route];
+            if !cx.table.any_room(&route.replicas, version, cx.now) {
+                let class = self.config.class;
+                let rate = cx.table.drain_rate(class, &route.replicas, version, cx.now);
+                full.push(Lack {
+                    purse: route.purse,
+                    rate,
+                });
+            }
+        }
+        full.sort_by(|a, b| b.rate.total_cmp(&a.rate));
+        let room = self.shards.len() - full.len();
+        full.into_iter().enumerate().find_map(|(more, lack)| {
+            let short = room + more == 0 || !self.reaches_least(room + more);
+            let enough = self.reaches_least(room + more + 1);
+            (short && enough).then_some(lack)
+        })
+    }
+
+    fn hold(&mut self, lack: Lack, cx: &mut Context<'_>) {
+        let until = self.start + self.config.goal.since(self.start) / HOLD_PART;
+        let new = self.held.is_none();
+        let ahead = cx.table.held(lack.purse);
+        let left = until.since(cx.now).as_secs_f64();
+        let hopeless = new && f64::from(ahead + 1) > lack.rate * left;
+        if hopeless || cx.now >= until {
+            self.finish(End::Partial(Give::Full), cx);
+            return;
+        }
+        if new {
+            cx.table.hold(lack.purse);
+            self.held = Some(lack.purse);
+        }
+        self.look = self.next_look(cx.now).min(until);
+    }
+
+    /// Ends the wait of a query that has made no call.
+    pub(super) fn let_go(&mut self, cx: &mut Context<'_>) {
+        if let Some(purse) = self.held.take() {
+            cx.table.release(purse);
+        }
+    }
+
+    fn next_look(&self, now: Time) -> Time {
+        now + ROOM_LOOK.max(now.since(self.start) / ROOM_PART)
+    }
+
+    /// Has a shard without a call under way wait until one of its back ends has
+    /// room, if that is what it lacks.
+    pub(super) fn wait_for_room(&mut self, position: usize, kind: CallKind, cx: &Context<'_>) {
+        let shard = &self.shards[position];
+        let attempts = shard.ran < self.config.attempts;
+        if kind == CallKind::Hedge || shard.live > 0 || !attempts {
+            return;
+        }
+        let replicas = &self.routes.shards[shard.route].replicas;
+        let version = self.version();
+        let repeats = may_repeat(kind, shard, replicas);
+        let callable = |ix: &Ix| {
+            let allowed = repeats || !shard.tried.contains(ix);
+            allowed && cx.table.is_open(*ix, version, cx.now)
+        };
+        if replicas.iter().any(callable) {
+            self.call_later(position, kind, self.next_look(cx.now));
+        }
+    }
+
+    /// Has a shard whose call no budget paid wait for the budget. Only where
+    /// the query would throw away what other shards did: a caller that asks
+    /// again for a single one costs no more than the call that was not paid.
+    pub(super) fn wait_for_budget(&mut self, shards: &[usize], kind: CallKind, cx: &Context<'_>) {
+        let alone = self.shards.len() == 1;
+        if kind == CallKind::Hedge || alone || cx.now >= self.config.goal {
+            return;
+        }
+        if self.config.goal >= self.config.deadline {
+            return;
+        }
+        for position in shards {
+            if self.shards[*position].live == 0 {
+                self.call_later(*position, kind, self.next_look(cx.now));
+            }
+        }
+    }
+
+    fn call_later(&mut self, position: usize, kind: CallKind, at: Time) {
+        if at + HOP >= self.config.deadline {
+            return;
+        }
+        self.shards[position].later = Some(Later { at, kind });
+        self.look = self.look.min(at);
+    }
+
+    /// Has shards that every replica shed tried again after a rest, in which a
+    /// slot may come free.
+    pub(super) fn rest(&mut self, orphans: &[usize], cx: &Context<'_>) {
+        for position in orphans {
+            let shard = &self.shards[*position];
+            let replicas = self.routes.shards[shard.route].replicas.len();
+            let rests = shard.live == 0 && shard.later.is_none();
+            if rests && shard.tried.len() < replicas * ROUNDS {
+                self.call_later(*position, CallKind::Reshed, cx.now + SHED_REST);
+            }
+        }
+    }
+
+    /// Makes the calls whose time has come.
+    pub(super) fn call_waiting(&mut self, cx: &mut Context<'_>) {
+        let mut due: Vec<(usize, CallKind)> = Vec::new();
+        for (position, shard) in self.shards.iter_mut().enumerate() {
+            let Some(later) = shard.later.filter(|later| later.at <= cx.now) else {
+                continue;
+            };
+            shard.later = None;
+            shard.rested |= later.kind == CallKind::Reshed;
+            due.push((position, later.kind));
+        }
+        if due.is_empty() {
+            return;
+        }
+        for (position, kind) in due {
+            self.call(&[position], kind, cx);
+        }
+        self.stuck = true;
+        self.settle(cx);
+    }
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,7 +8,7 @@
 use chestnut_unit::{IndexVersion, Time};
 
 use crate::{
-    Class, Damped, Estimate, Gauge, Profile, Purse, PurseId,
+    Class, Damped, Estimate, Gauge, Profile, Purse, PurseId, Window,
     backend::{Backend, Guard, Ix, TableConfig},
     failure::{Failure, Refusal},
     faults::{Faults, Verdict},
@@ -63,6 +63,7 @@
     pub(crate) slots: u32,
     pub(crate) outstanding: u32,
     pub(crate) estimate: Estimate,
+    pub(crate) window: Window,
     points: u32,
     evictions: u32,
     evicted: Option<Time>,
@@ -86,11 +87,13 @@
     pub(crate) config: TableConfig,
     pub(crate) states: Vec<State>,
     index: BTreeMap<Backend, Ix>,
-    profiles: Vec<Profile>,
+    pub(crate) profiles: Vec<Profile>,
     pub(crate) purses: Vec<Purse>,
     pub(crate) gauge: Gauge,
     pub(crate) turn: u64,
     pub(crate) damped: Damped,
+    /// Queries that wait for room, by the budget of the shard that lacks it.
+    pub(crate) held: BTreeMap<PurseId, u32>,
     evicted: Vec<Eviction>,
 }
 
@@ -107,6 +110,7 @@
             gauge: Gauge::default(),
             turn: 0,
             damped: Damped::default(),
+            held: BTreeMap::new(),
             evicted: Vec::new(),
         }
     }
@@ -124,6 +128,7 @@
             slots,
             outstanding: 0,
             estimate: Estimate::default(),
+            window: Window::default(),
             points: 0,
             evictions: 0,
             evicted: None,
@@ -303,6 +308,7 @@
         profile.excess.record(span.saturating_sub(expected));
         profile.calls.record(span);
         self.damped.record(ix, span, now);
+        self.fit_window(class, ix, span, now);
         let scaled = span.mul_f64(self.scale(class));
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
@@ -325,7 +331,12 @@
         match failure {
             Failure::Refused(Refusal::Draining) => state.leaving = true,
             Failure::Cut | Failure::Refused(Refusal::NoSnapshot | Refusal::Deadline) => {}
-            Failure::Refused(_) => state.rest = now + REFUSED_REST,
+            Failure::Refused(refusal) => {
+                state.rest = now + REFUSED_REST;
+                if refusal == Refusal::Shed {
+                    self.cut_for_refusal(ix, now);
+                }
+            }
             Failure::NotSent | Failure::Lost | Failure::Failed => {
                 self.count(POINTS_LOST, ix, failure, now);
             }
@@ -344,6 +355,7 @@
         let state = &mut self.states[ix.index()];
         state.outstanding = state.outstanding.saturating_sub(1);
         state.estimate.record_at_least(scaled, now);
+        self.cut_if_late(class, ix, span, now);
         if span >= late && known {
             self.count(POINTS_LATE, ix, Failure::Lost, now);
         }
