Leave callers 26 ms of the goal for asking, connecting and the way back

Price: answers cut short are cut 10 ms earlier and lack a shard slightly more often. Test: a_scarce_shard_is_left_out_where_the_answer_may_lack_it asks for the trip and failed with 16 ms.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -86,9 +86,11 @@
 /// than the most.
 const AFTER_MIN: Duration = Duration::from_millis(50);
 const AFTER_MAX: Duration = Duration::from_secs(1);
-/// Time that an answer needs to its caller, and its request from there: taken
-/// off the goal, so that what is cut short to be in time is in time there.
-const CALLER_TRIP: Duration = Duration::from_millis(16);
+/// Time that a caller spends beside the request's time here, taken off the goal:
+/// four round trips of 6 ms where it first asks where to connect and then
+/// connects, and the delay of timers. At 16 ms a sixth of the answers that were
+/// cut short to be in time came late to their callers.
+const CALLER_TRIP: Duration = Duration::from_millis(26);
 
 /// What the log tells of a request, beside its reply.
 struct Account {
--- a/crates/relay/tests/overload.rs
+++ b/crates/relay/tests/overload.rs
@@ -14,6 +14,8 @@
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 /// The goal of the rules.
 const GOAL: Duration = Duration::from_millis(200);
+/// Four round trips of 6 ms: to ask where to connect, to connect, to be served.
+const CALLER_TRIP: Duration = Duration::from_millis(24);
 
 /// Four shards, each with leafs of five slots. The last shard has one leaf
 /// left, whose calls take `ms`; the others have room for everything.
@@ -109,14 +111,14 @@
 /// Callers get answers late, or none, though the answer may lack a shard.
 /// The scarce shard is the only one without room, and the least share can be
 /// reached without it: those that find room there get it, the others are
-/// answered by the goal without it.
+/// answered without it in time to reach their callers by the goal.
 #[tokio::test(start_paused = true)]
 async fn a_scarce_shard_is_left_out_where_the_answer_may_lack_it() {
     let stage = one_scarce_shard(750, 40);
     let relay = stage.serving(1).await;
     sleep(Duration::from_secs(1)).await;
     let replies = send(&relay, 250, Duration::from_millis(4)).await;
-    assert!(replies.iter().all(|(_, span)| *span <= GOAL));
+    assert!(replies.iter().all(|(_, span)| *span <= GOAL - CALLER_TRIP));
     let with = |n| replies.iter().filter(move |(r, _)| missing(r) == Some(n));
     assert_eq!(with(0).count() + with(1).count(), 250);
     assert!(with(0).count() >= 110, "{} whole", with(0).count());
