--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -88,8 +88,8 @@
 const AFTER_MAX: Duration = Duration::from_secs(1);
 /// Time that a caller spends beside the request's time here, taken off the goal:
 /// four round trips of 6 ms where it first asks where to connect and then
-/// connects, and the delay of timers. At 16 ms a sixth of the answers that were
-/// cut short to be in time came late to their callers.
+/// connects, and the delay of timers. On a day of load 411 of 2,508 calls with a
+/// goal of 80 ms came late to their callers at 16 ms, 155 at 26 ms.
 const CALLER_TRIP: Duration = Duration::from_millis(26);
 
 /// What the log tells of a request, beside its reply.
