Merge only successful answers

Cause: reading the request path. A leaf's 404 or 400 is signed and whole, and was taken as the part of its shard: an answer that lacks the shard's records claimed to be whole. Test: a_rejection_is_no_part_of_a_merge, failed first (nothing missing where one shard is).

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -19,6 +19,8 @@
     pub(crate) shared: &'a Shared,
     pub(crate) message: Arc<Message>,
     pub(crate) kind: Kind,
+    /// Whether answers are parts of a merged one.
+    pub(crate) merges: bool,
     /// The last failure that a leaf answered with, to pass on if nothing
     /// better comes.
     pub(crate) failed: Arc<Mutex<Option<LeafReply>>>,
@@ -60,10 +62,16 @@
             },
         };
         let reply = self.shared.forward.call(call);
-        let (failed, shards) = (self.failed.clone(), start.shards);
+        let (failed, shards, merges) = (self.failed.clone(), start.shards, self.merges);
         let version = start.routes.snapshot.version;
         async move {
             match reply.await {
+                // What a leaf refuses, as a wrong path, is signed like any answer
+                // but holds no records: merged it would look like an empty shard.
+                Ok(reply) if merges && !reply.answer.status().is_success() => {
+                    *lock(&failed) = Some(reply);
+                    Err(Failure::Failed)
+                }
                 Ok(reply) => Ok(Parts {
                     version,
                     // One call asks one leaf for one shard.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -181,6 +181,7 @@
         shared,
         message: ask.message.clone(),
         kind: rule.kind,
+        merges: matches!(rule.target, Target::Gather { .. }),
         failed: Arc::new(Mutex::new(None)),
     }
 }
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -9,7 +9,7 @@
 use chestnut_unit::LeafId;
 use futures::future::join_all;
 use tokio::time::{Instant, sleep};
-use world::{Answers, Got, Stage, ask, book, entry, name, rule};
+use world::{Answers, Got, Manner, Stage, ask, book, entry, gather, missing, name, rule};
 
 fn one(version: u64) -> chestnut_book::RouteBook {
     let target = Target::One(name("archive"));
@@ -187,3 +187,26 @@
     let metrics = relay.metrics();
     assert!(metrics.contains("chestnut_relay_classes 2\n"), "{metrics}");
 }
+
+/// The caller gets a whole answer that lacks the records of one shard.
+/// A leaf of that shard answers that it knows no such path; the answer is signed
+/// and whole, and was merged as the part of its shard. It is a failure, and
+/// another leaf is asked.
+#[tokio::test(start_paused = true)]
+async fn a_rejection_is_no_part_of_a_merge() {
+    let stage = Stage::default();
+    for shard in ["s1", "s2"] {
+        stage.add_leafs(shard, 2, 10);
+    }
+    for leaf in ["s2-0", "s2-1"] {
+        stage.leafs.set(&leaf.parse().unwrap(), Manner::Rejects);
+    }
+    let target = gather(&["s1", "s2"], 500);
+    stage
+        .store
+        .put_book(book(1, vec![rule("/q/", Kind::Idempotent, target)]));
+    let relay = stage.serving(1).await;
+    sleep(Duration::from_secs(1)).await;
+    let reply = relay.forward(ask("r", "/q/x")).await;
+    assert_eq!(missing(&reply), Some(1));
+}
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -31,6 +31,8 @@
     Loses,
     /// It runs calls and answers with a failure of its own.
     Fails,
+    /// It takes calls for wrong ones and says so.
+    Rejects,
 }
 
 /// A call that a leaf got.
@@ -151,6 +153,10 @@
                     let reply = leaf_reply(&call.leaf, 500, Bytes::new());
                     Err(LeafFailure::Failed(reply))
                 }
+                Some(Manner::Rejects) => {
+                    let body = Bytes::from_static(b"no such path here");
+                    Ok(leaf_reply(&call.leaf, 404, body))
+                }
                 None => Err(LeafFailure::Unsent),
             };
             under.ended = true;
