--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -350,3 +350,31 @@
     let chosen = choose_replica(&mut table, &replicas, others, V1, at(11), &mut rng);
     assert_eq!(chosen, Some(replicas[0]));
 }
+
+/// Bytes between failure domains are paid for, and calls across them take
+/// longer; but a domain that is busy must not be the only one that is called.
+#[rstest]
+#[case::idle(0, true)]
+#[case::one_call(1, true)]
+#[case::two_calls(2, false)]
+fn a_near_back_end_is_preferred_until_two_calls_are_under_way(
+    #[case] calls: u32,
+    #[case] near: bool,
+) {
+    let config = TableConfig {
+        choice: Choice::Predicted,
+        ..TableConfig::default()
+    };
+    let mut table = Table::new(config);
+    table.add_class();
+    let replicas = leafs(&mut table, 2);
+    table.set_far(replicas[1], true);
+    for _ in 0..calls {
+        table.sent(replicas[0]);
+    }
+    for seed in 0..20 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let chosen = choose_replica(&mut table, &replicas, &[], V1, at(1), &mut rng);
+        assert_eq!(chosen == Some(replicas[0]), near);
+    }
+}
