Check small worlds of entries that follow each other under random faults

Nine entries in three failure domains; the store lost to all or to some, entries killed one or all at once, changes meanwhile.

--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -26,6 +26,7 @@
 use hyper::{HeaderMap, Method, http::uri::PathAndQuery};
 use slog::{Discard, Logger, o};
 
+const DOMAINS: [&str; 3] = ["dub-a", "dub-b", "kdr-c"];
 pub const HOST: &str = "league.example";
 
 /// Everything that the entries of one test share.
@@ -35,13 +36,19 @@
     pub leafs: FakeLeafs,
     pub net: FakeNet,
     pub feeds: FakeFeeds,
+    /// Failure domains among which entries are spread; one if none is said.
+    pub domains: u16,
+    /// Entries that the others ask at their start.
+    pub seeds: Vec<u16>,
 }
 
 impl Stage {
     /// Starts entry number `n`. The settings are those of a small deployment.
     pub async fn spawn(&self, n: u16) -> Relay {
+        let domain = DOMAINS[usize::from(n % self.domains.max(1))];
+        let seeds: Vec<String> = self.seeds.iter().map(|n| peers_address(*n).to_string()).collect();
         let text = format!(
-            "[entry]\nmember = \"entry-{n}\"\ndomain = \"dub-a\"\ncores = 0.25\nlink = 1000\nfiles = 1024\n\
+            "seeds = {seeds:?}\n[entry]\nmember = \"entry-{n}\"\ndomain = \"{domain}\"\ncores = 0.25\nlink = 1000\nfiles = 1024\n\
              [listen]\ncallers = \"10.0.0.{n}:1\"\nreadiness = \"10.0.0.{n}:2\"\n\
              directory = \"10.0.0.{n}:3\"\npeers = \"10.0.0.{n}:4\"\nmetrics = \"10.0.0.{n}:5\"\n\
              [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\nwindow = \"10s\"\n\
@@ -53,13 +60,13 @@
         let host = Host::new(log, Trace::None, Clock::start(), u64::from(n));
         let (feeds, own) = (self.feeds.clone(), settings.listen.peers);
         let ports = RelayPorts {
-            book: Arc::new(self.store.clone()),
-            leafs: Arc::new(self.store.clone()),
+            book: Arc::new(self.store.reached_by(n)),
+            leafs: Arc::new(self.store.reached_by(n)),
             peers: Box::new(move |service| {
                 lock(&feeds.0).insert(own, service);
                 async move { Ok(Arc::new(feeds) as Arc<dyn FeedPeers>) }.boxed()
             }),
-            adverts: Arc::new(self.store.clone()),
+            adverts: Arc::new(self.store.reached_by(n)),
             forward: Arc::new(self.leafs.clone()),
             probes: Arc::new(probes),
         };
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -1,7 +1,7 @@
 //! A store with a book, leafs and adverts, that can fall silent.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -38,6 +38,8 @@
     /// Watches to come whose answers vanish.
     lost: usize,
     calls: u64,
+    /// Entries that are turned away.
+    barred: BTreeSet<u16>,
 }
 
 /// A store with a book, leafs and adverts.
@@ -45,6 +47,8 @@
 pub struct FakeStore {
     stored: Arc<Mutex<Stored>>,
     changed: Arc<Notify>,
+    /// The entry that calls through this handle.
+    caller: u16,
 }
 
 impl FakeStore {
@@ -84,6 +88,23 @@
         lock(&self.stored).lost = count;
     }
 
+    /// The store as entry number `n` reaches it.
+    pub fn reached_by(&self, n: u16) -> Self {
+        let mut store = self.clone();
+        store.caller = n;
+        store
+    }
+
+    /// Turns some entries away, and no others.
+    pub fn bar(&self, entries: BTreeSet<u16>) {
+        lock(&self.stored).barred = entries;
+        self.changed.notify_waiters();
+    }
+
+    fn is_barred(&self) -> bool {
+        lock(&self.stored).barred.contains(&self.caller)
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.stored).calls
@@ -104,6 +125,9 @@
 
     async fn check(&self) -> Result<(), FeedError> {
         self.reach().await;
+        if self.is_barred() {
+            return Err(FeedError::Busy("turned away".to_owned()));
+        }
         match lock(&self.stored).silent {
             true => Err(FeedError::Unavailable("silent".to_owned())),
             false => Ok(()),
@@ -131,7 +155,8 @@
             let changed = self.changed.notified();
             let found = {
                 let stored = lock(&self.stored);
-                if stored.silences != silences {
+                let barred = stored.barred.contains(&self.caller);
+                if stored.silences != silences || barred {
                     None
                 } else if let Some(found) = find(&stored) {
                     return found;
