Let watchers that the store turns away hear of changes from others

A watcher whose store doesn't answer asks those of other domains, and before it knows any the other seeds; it names whom it follows, so its followers go there too. Where the store has just answered an entry, a peer's loss is the peer's own.

--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -82,9 +82,10 @@
 /// nothing, and what changed meanwhile is due soon after it is back.
 const PULSE_LOST: Duration = Duration::from_millis(250);
 /// Least time between two pulses of the store by an entry whose peers have all
-/// lost it; the most is twice as long. Should the store serve this entry only,
-/// it misses changes for so long; entries by the thousand still ask the store a
-/// few hundred times a second in all.
+/// lost it, or that has lost it itself and follows a peer which has it; the most
+/// is twice as long. Should the store serve this entry only, it misses changes
+/// for so long; entries by the thousand still ask the store a few hundred times
+/// a second in all.
 const CHECK_LEAST: Duration = Duration::from_secs(4);
 
 /// What a pulse brought.
@@ -110,7 +111,7 @@
         });
         let answer = pulse(&shared, &sources, upstream).await;
         let heard = match upstream {
-            Upstream::Store => hear_store(&shared, answer),
+            Upstream::Store => hear_store(&shared, &members, answer),
             Upstream::Peer(peer) => hear_peer(&shared, &members, peer, answer),
         };
         match (heard, upstream) {
@@ -118,7 +119,7 @@
             (Heard::Lost, Upstream::Peer(_)) => {
                 let now = shared.now();
                 if check == Time::MAX {
-                    check = now + CHECK_LEAST.mul_f64(1.0 + draw(&shared));
+                    check = now + check_span(&shared);
                 }
                 if now >= check {
                     check = Time::MAX;
@@ -146,14 +147,20 @@
     answer.unwrap_or_else(|_| Err(FeedError::Unavailable("no answer yet".to_owned())))
 }
 
-fn hear_store(shared: &Shared, answer: Result<u64, FeedError>) -> Heard {
+fn hear_store(shared: &Shared, members: &Members, answer: Result<u64, FeedError>) -> Heard {
     let now = shared.now();
     match answer {
         Ok(revision) => {
+            lock(&shared.upstreams).store_answered(now);
             answered(shared, revision, now);
             Heard::Revision
         }
         Err(error) => {
+            lock(&shared.upstreams).store_failed(now + check_span(shared));
+            if choose(shared, members) != Upstream::Store {
+                info!(shared.host.log, "watch: the store does not answer"; "why" => %error);
+                return Heard::TryNext;
+            }
             lose(shared, &error, now);
             Heard::Lost
         }
@@ -179,7 +186,12 @@
             lock(&shared.upstreams).redirected(peer, to, own, now);
             Heard::TryNext
         }
-        Err(error @ FeedError::Lost) if !starting => {
+        Err(FeedError::Lost) if starting => {
+            let age = now.since(Time::ZERO);
+            lock(&shared.upstreams).not_ready(peer, age, now);
+            Heard::TryNext
+        }
+        Err(error @ FeedError::Lost) => {
             lock(&shared.upstreams).lost(peer, now);
             if choose(shared, members) != Upstream::Peer(peer) {
                 return Heard::TryNext;
@@ -250,6 +262,10 @@
     }
 }
 
+fn check_span(shared: &Shared) -> Duration {
+    CHECK_LEAST.mul_f64(1.0 + draw(shared))
+}
+
 /// A number from 0 to 1.
 fn draw(shared: &Shared) -> f64 {
     shared.host.rng().next_u64() as f64 / u64::MAX as f64
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -14,6 +14,9 @@
 /// How long it is believed that a peer has lost the store, or hears of it from
 /// another one, unless it is asked again.
 const WORD_SPAN: Duration = Duration::from_secs(3);
+/// How long an answer of the store to this entry outweighs what peers say of it:
+/// two pulses.
+const SERVED_SPAN: Duration = Duration::from_secs(2);
 /// How long a peer is not asked again that sent this entry to one that is no use.
 const LOOP_REST: Duration = Duration::from_millis(300);
 /// Peers that must have lost the store before it is taken to be lost to all. One
@@ -51,7 +54,8 @@
 /// When the store is lost, entries that follow wait for those that watch it. If
 /// all turned to the store, thousands would ask it in vain, and again all at
 /// once when it is back. As a single watcher may be cut off, it takes two that
-/// have lost the store, and none that has it.
+/// have lost the store, and none that has it. A watcher that has lost the store
+/// asks those of other domains, and sends its followers where it finds it.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamChoice {
     /// Peers that did not answer, and until when they are not asked.
@@ -62,6 +66,10 @@
     current: Option<SocketAddr>,
     /// The peer that this entry was sent to, and until when it follows it.
     sent: Option<(SocketAddr, Time)>,
+    /// Until when the store is not asked, as it did not answer this entry.
+    deaf: Option<Time>,
+    /// When the store answered this entry last.
+    served: Option<Time>,
 }
 
 impl UpstreamChoice {
@@ -75,15 +83,31 @@
         self.avoid(peer, now + span);
     }
 
+    /// Takes it that a peer has nothing to pass on to an entry that starts: it
+    /// may just start too.
+    pub fn not_ready(&mut self, peer: SocketAddr, age: Duration, now: Time) {
+        let rest = match age < SEEDS_SPAN {
+            true => SEED_REST,
+            false => LOOP_REST,
+        };
+        self.avoid(peer, now + rest);
+    }
+
     /// Takes it that a peer answered.
     pub fn answered(&mut self, peer: SocketAddr) {
         self.lost.remove(&peer);
         self.current = Some(peer);
     }
 
-    /// Takes it that a peer has lost the store.
+    /// Takes it that a peer has lost the store. Where the store has just answered
+    /// this entry, that is the peer's own trouble.
     pub fn lost(&mut self, peer: SocketAddr, now: Time) {
-        self.lost.insert(peer, now + WORD_SPAN);
+        match self.served.is_some_and(|at| now.since(at) < SERVED_SPAN) {
+            true => self.avoid(peer, now + BAD_SPAN),
+            false => {
+                self.lost.insert(peer, now + WORD_SPAN);
+            }
+        }
     }
 
     /// Takes it that `peer` hears of the store from the entry at `to`.
@@ -95,6 +119,17 @@
         }
     }
 
+    /// Takes it that the store answered this entry.
+    pub fn store_answered(&mut self, now: Time) {
+        self.served = Some(now);
+    }
+
+    /// Takes it that the store did not answer this entry, which asks others until
+    /// then.
+    pub fn store_failed(&mut self, until: Time) {
+        self.deaf = Some(until);
+    }
+
     /// Takes it that the store answers this entry although its peers have lost
     /// it.
     pub fn store_answers(&mut self, now: Time) {
@@ -129,13 +164,14 @@
     ) -> Upstream {
         self.bad.retain(|_, until| now < *until);
         self.lost.retain(|_, until| now < *until);
+        self.deaf = self.deaf.filter(|until| now < *until);
         let ranked = Ranked::new(own, others);
         let is_seed = seeds.contains(&own.addresses.peers);
         let watches = match age < SETTLE {
             true => is_seed,
             false => ranked.own == Some(0),
         };
-        if watches {
+        if watches && self.deaf.is_none() {
             return Upstream::Store;
         }
         let sent = self.sent.filter(|(_, until)| now < *until);
@@ -144,26 +180,37 @@
         if let Some(peer) = word.filter(|peer| self.is_usable(*peer)) {
             return Upstream::Peer(peer);
         }
+        let watchers = ranked.watchers();
+        let alone = ranked.near.len() <= 1;
         match ranked.own {
-            _ if ranked.near.len() <= 1 => self.seed(own, seeds, age),
+            _ if self.deaf.is_some() => {
+                let own = own.addresses.peers;
+                let seeds: Vec<SocketAddr> = seeds.iter().copied().filter(|s| *s != own).collect();
+                let upstream = self.follow(&watchers).or_else(|| self.follow(&seeds));
+                upstream.unwrap_or(Upstream::Store)
+            }
+            _ if alone => self.seed(own, seeds, age),
             Some(0) => Upstream::Store,
             Some(1) if !self.is_usable(ranked.near[0]) => Upstream::Store,
-            _ => self.follow(&ranked.watchers()),
+            _ => {
+                let upstream = self.follow(&watchers).or_else(|| self.wait(&watchers));
+                upstream.unwrap_or(Upstream::Store)
+            }
         }
     }
 
-    /// The first of `watchers` that may be followed; one that has lost the store
-    /// if all that answer have.
-    fn follow(&self, watchers: &[SocketAddr]) -> Upstream {
-        if let Some(peer) = watchers.iter().find(|peer| self.is_usable(**peer)) {
-            return Upstream::Peer(*peer);
-        }
-        let mut lost = watchers.iter().filter(|peer| self.is_lost(**peer));
-        let first = lost.next();
-        match first {
-            Some(peer) if 1 + lost.count() >= LOST_QUORUM => Upstream::Peer(*peer),
-            _ => Upstream::Store,
-        }
+    /// The first of `watchers` that may be followed.
+    fn follow(&self, watchers: &[SocketAddr]) -> Option<Upstream> {
+        let peer = watchers.iter().find(|peer| self.is_usable(**peer));
+        peer.map(|peer| Upstream::Peer(*peer))
+    }
+
+    /// One of `watchers` that has lost the store, if enough have.
+    fn wait(&self, watchers: &[SocketAddr]) -> Option<Upstream> {
+        let lost = watchers.iter().filter(|peer| self.is_lost(**peer));
+        let enough = lost.clone().count() >= LOST_QUORUM;
+        let first = lost.map(|peer| Upstream::Peer(*peer)).next();
+        first.filter(|_| enough)
     }
 
     /// Before any member is known.
@@ -238,9 +285,13 @@
         }
     }
 
-    /// The entries that watch the store, those to follow first.
+    /// The other entries that watch the store, those to follow first.
     fn watchers(&self) -> Vec<SocketAddr> {
-        let near = self.near.iter().take(WATCHERS);
-        near.chain(&self.far).copied().collect()
+        let near = self.near.iter().enumerate().take(WATCHERS);
+        let near = near.filter(|(rank, _)| Some(*rank) != self.own);
+        near.map(|(_, peer)| peer)
+            .chain(&self.far)
+            .copied()
+            .collect()
     }
 }
