--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -80,7 +80,10 @@
 impl FeedService for Passing {
     fn pulse(&self) -> Result<u64, FeedError> {
         if let Upstream::Peer(peer) = *self.0.upstream.borrow() {
-            return Err(FeedError::Elsewhere(peer));
+            return Err(match lock(&self.0.upstreams).is_heard(peer) {
+                true => FeedError::Elsewhere(peer),
+                false => FeedError::Lost,
+            });
         }
         let pulse = *self.0.pulse.borrow();
         match pulse.is_lost() || pulse.revision() == 0 {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -102,12 +102,11 @@
     /// Takes it that a peer has lost the store. Where the store has just answered
     /// this entry, that is the peer's own trouble.
     pub fn lost(&mut self, peer: SocketAddr, now: Time) {
+        self.forget(peer);
         match self.served.is_some_and(|at| now.since(at) < SERVED_SPAN) {
-            true => self.avoid(peer, now + BAD_SPAN),
-            false => {
-                self.lost.insert(peer, now + WORD_SPAN);
-            }
-        }
+            true => self.bad.insert(peer, now + BAD_SPAN),
+            false => self.lost.insert(peer, now + WORD_SPAN),
+        };
     }
 
     /// Takes it that `peer` hears of the store from the entry at `to`.
@@ -138,6 +137,13 @@
         }
     }
 
+    /// Whether `peer` answered last time. Only such a one is named to others:
+    /// entries that look for one to follow would send each other around.
+    #[must_use]
+    pub fn is_heard(&self, peer: SocketAddr) -> bool {
+        self.current == Some(peer)
+    }
+
     /// Whether a peer has lost the store.
     #[must_use]
     pub fn is_lost(&self, peer: SocketAddr) -> bool {
@@ -149,9 +155,14 @@
     }
 
     fn avoid(&mut self, peer: SocketAddr, until: Time) {
+        self.forget(peer);
         self.bad.insert(peer, until);
     }
 
+    fn forget(&mut self, peer: SocketAddr) {
+        self.current = self.current.filter(|current| *current != peer);
+    }
+
     /// The upstream of `own`, which started `age` ago, among the members that
     /// it knows.
     pub fn choose<'a>(
