--- a/crates/fake/src/experiment/condition.rs
+++ b/crates/fake/src/experiment/condition.rs
@@ -46,6 +46,14 @@
     DeadEntry,
     /// One entry stops for ten seconds and comes back.
     FrozenEntry,
+    /// Every leaf stops for a quarter of a second each six seconds, each at its
+    /// own time.
+    Pauses,
+    /// Some shards have one leaf left, from the start on.
+    Scarce {
+        /// Shards.
+        shards: usize,
+    },
 }
 
 /// One condition.
@@ -130,3 +138,22 @@
         ),
     ]
 }
+
+/// Conditions in which some shards have little room. Loads are shares of what
+/// a shard with one leaf of three can serve.
+#[must_use]
+pub fn room_conditions() -> Vec<Condition> {
+    const ONE_OF_THREE: f64 = 1.0 / 3.0;
+    let scarce = |name, load: f64, shards| {
+        let faults = [Fault::Pauses, Fault::Scarce { shards }];
+        at(name, load * ONE_OF_THREE, &faults)
+    };
+    vec![
+        at("pauses", 0.85 * ONE_OF_THREE, &[Fault::Pauses]),
+        scarce("1 scarce, 85%", 0.85, 1),
+        scarce("1 scarce, 130%", 1.3, 1),
+        scarce("2 scarce, 85%", 0.85, 2),
+        scarce("2 scarce, 130%", 1.3, 2),
+        scarce("3 scarce, 130%", 1.3, 3),
+    ]
+}
--- a/crates/fake/src/experiment/entry.rs
+++ b/crates/fake/src/experiment/entry.rs
@@ -3,7 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use chestnut_route::{
-    Admission, Backend, CallId, ConnId, Ix, Pool, PurseId, Query, Route, Routes, Table, Versions,
+    Admission, Backend, CallId, Class, ConnId, Ix, Pool, PurseId, Query, Route, Routes, Table,
+    Versions,
 };
 use chestnut_unit::{IndexVersion, LeafId, ShardName, Snapshot, Time, Urgency};
 use rand_chacha::ChaCha8Rng;
@@ -20,6 +21,8 @@
     pub(super) query: Option<Query<()>>,
     pub(super) restarts: u32,
     pub(super) ticking: Time,
+    /// Times that its caller will come back if it is refused.
+    pub(super) returns: u32,
 }
 
 /// A call that waits for a connection.
@@ -63,6 +66,14 @@
             table.add(Backend::Leaf(id), shape.slots as u32, Time::ZERO)
         };
         let ixs: Vec<Ix> = (0..shape.leafs).map(add).collect();
+        if let Some(bounds) = policy.rooms.bounds(shape) {
+            for ix in &ixs {
+                table.set_bounds(*ix, bounds);
+            }
+        }
+        if let Some(goal) = shape.goal {
+            table.set_goal(Class::default(), goal);
+        }
         let link = || Link {
             pool: Pool::new(shape.pool, shape.spare),
             silent: Vec::new(),
--- a/crates/fake/src/experiment/faults.rs
+++ b/crates/fake/src/experiment/faults.rs
@@ -42,7 +42,12 @@
                 self.entries[0].requests.clear();
             }
             Fault::FrozenEntry => self.entries[0].frozen = Some(self.now + FREEZE),
-            Fault::None | Fault::Stragglers { .. } | Fault::LyingHealth | Fault::Shedding => {}
+            Fault::Scarce { shards } => self.scarce(shards),
+            Fault::None
+            | Fault::Stragglers { .. }
+            | Fault::LyingHealth
+            | Fault::Shedding
+            | Fault::Pauses => {}
         }
     }
 
@@ -65,6 +70,19 @@
         }
     }
 
+    /// Takes all leafs but one of some shards away; the entries are told.
+    fn scarce(&mut self, shards: usize) {
+        for shard in 0..shards {
+            for replica in 1..self.shape.replicas {
+                let leaf = shard * self.shape.replicas + replica;
+                self.lose_leaf(leaf);
+                for entry in &mut self.entries {
+                    entry.table.set_leaving(entry.ixs[leaf], true, self.now);
+                }
+            }
+        }
+    }
+
     pub(super) fn new_version(&mut self) {
         let version = IndexVersion(2);
         for leaf in &mut self.leafs {
@@ -102,7 +120,7 @@
     match fault {
         Fault::SlowLeaf { .. } => (third, Some(third * 2)),
         Fault::FrozenEntry => (third, Some(third + FREEZE)),
-        Fault::SlowDomain { .. } => (Duration::ZERO, None),
+        Fault::SlowDomain { .. } | Fault::Scarce { .. } => (Duration::ZERO, None),
         _ => (third, None),
     }
 }
--- a/crates/fake/src/experiment/mod.rs
+++ b/crates/fake/src/experiment/mod.rs
@@ -12,12 +12,14 @@
 mod policy;
 mod report;
 mod requests;
+mod rooms;
 mod shape;
 mod sim;
 mod wires;
 
-pub use condition::{Condition, Fault, conditions};
-pub use policy::{Policy, policies};
+pub use condition::{Condition, Fault, conditions, room_conditions};
+pub use policy::{Policy, Rooms, policies, room_policies};
 pub use report::{Outcome, UrgencyOutcome, run_table};
+pub use rooms::{RoomRow, plot_rooms, run_rooms};
 pub use shape::Shape;
 pub use sim::simulate;
--- a/crates/fake/src/experiment/report.rs
+++ b/crates/fake/src/experiment/report.rs
@@ -56,6 +56,17 @@
     pub limit: usize,
     /// Evictions.
     pub evictions: u64,
+    /// Answers that cover the least share, where that is asked for.
+    pub served: u64,
+    /// Those that came within the goal.
+    pub in_time: u64,
+    /// What all answers are worth together: of each the square of the share of
+    /// shards that are in, and a part of that if it is late.
+    pub credit: f64,
+    /// Calls of requests that were served.
+    pub useful: u64,
+    /// Calls of attempts that were not served.
+    pub wasted: u64,
     /// Queries answered per second, as a share of what the slots can serve.
     pub goodput: f64,
 }
@@ -89,6 +100,11 @@
             peak: 0,
             limit,
             evictions: 0,
+            served: 0,
+            in_time: 0,
+            credit: 0.0,
+            useful: 0,
+            wasted: 0,
             goodput: 0.0,
         }
     }
--- a/crates/fake/src/experiment/requests.rs
+++ b/crates/fake/src/experiment/requests.rs
@@ -5,7 +5,7 @@
 use chestnut_route::{
     Action, Context, Decision, End, Give, Order, Query, QueryConfig, Ran, Release, Yields,
 };
-use chestnut_unit::{IndexVersion, Reason, RequestId, Share, Time, Urgency};
+use chestnut_unit::{IndexVersion, Reason, RequestId, Time, Urgency};
 use rand::Rng;
 
 use super::{
@@ -18,6 +18,19 @@
 /// Times that a query may start over, as in the daemon.
 const RESTARTS: u32 = 3;
 
+/// Part of its time after which a refused caller comes back, as entries say.
+const RETURN_PART: u32 = 4;
+/// What a late answer is worth of one in time, to the users.
+const LATE_WORTH: f64 = 0.1;
+
+/// How a request was not served.
+enum Unserved {
+    /// Its caller was told that nothing ran.
+    Refused,
+    /// Its calls failed.
+    Failed,
+}
+
 impl Sim<'_> {
     pub(super) fn arrive(&mut self) {
         let rate = self.shape.capacity() * self.condition.load;
@@ -43,6 +56,7 @@
             query: None,
             restarts: 0,
             ticking: Time::MAX,
+            returns: u32::from(self.shape.goal.is_some()),
         };
         if self.counted(&request) {
             self.outcome.arrived += 1;
@@ -120,7 +134,9 @@
             Decision::Run => self.start(at, id),
             Decision::Wait => {}
             Decision::Refuse { reason, .. } => {
-                if let Some(request) = self.entries[at].requests.remove(&id) {
+                if let Some(request) = self.entries[at].requests.remove(&id)
+                    && !self.comes_back(&request, Unserved::Refused)
+                {
                     self.count_refusal(&request, reason);
                 }
             }
@@ -138,7 +154,10 @@
             self.end_unserved(at, id);
             return;
         };
-        let config = QueryConfig::new(deadline, Share::WHOLE);
+        let config = QueryConfig {
+            goal: self.shape.goal.map_or(deadline, |goal| now + goal),
+            ..QueryConfig::new(deadline, self.shape.least)
+        };
         let mut actions = Vec::new();
         let entry = &mut self.entries[at];
         let mut cx = Context {
@@ -258,8 +277,24 @@
             calls: query.calls() as u32,
             sheds: query.sheds(),
         };
+        let coverage = query.coverage();
+        if let Some(goal) = self.shape.goal {
+            let how = match query.not_run() {
+                Some(_) => Unserved::Refused,
+                None => Unserved::Failed,
+            };
+            let share = coverage.answered as f64 / coverage.asked.max(1) as f64;
+            if coverage.reaches(self.shape.least) {
+                self.count_served(&request, share, goal, ran.calls);
+            } else {
+                self.count_unserved(&request, ran.calls);
+                if self.comes_back(&request, how) {
+                    self.admission_done(at, ran);
+                    return;
+                }
+            }
+        }
         if self.counted(&request) {
-            let coverage = query.coverage();
             self.outcome.ran += 1;
             self.outcome.covered += coverage.answered as f64 / coverage.asked.max(1) as f64;
             match end {
@@ -270,6 +305,52 @@
         self.admission_done(at, ran);
     }
 
+    /// Whether the caller of a request that was not served comes back: at once
+    /// after a failure, after a while if it was told that nothing ran.
+    fn comes_back(&mut self, request: &Request, how: Unserved) -> bool {
+        if request.returns == 0 || self.shape.goal.is_none() {
+            return false;
+        }
+        let span = request.deadline.since(request.arrived) / RETURN_PART;
+        let after = match how {
+            Unserved::Failed => Duration::ZERO,
+            Unserved::Refused => span.mul_f64(0.5 + unit(&mut self.arrivals)),
+        };
+        let request = Request {
+            query: None,
+            started: None,
+            returns: request.returns - 1,
+            ticking: Time::MAX,
+            ..*request
+        };
+        self.after(after, Event::Return(Box::new(request)));
+        true
+    }
+
+    pub(super) fn returned(&mut self, request: Request) {
+        let entry = self.draw_entry();
+        let id = self.next_query;
+        self.next_query += 1;
+        self.offer(entry, id, request);
+    }
+
+    fn count_served(&mut self, request: &Request, share: f64, goal: Duration, calls: u32) {
+        if !self.counted(request) {
+            return;
+        }
+        let in_time = self.now.since(request.arrived) <= goal;
+        self.outcome.served += 1;
+        self.outcome.in_time += u64::from(in_time);
+        self.outcome.credit += share * share * if in_time { 1.0 } else { LATE_WORTH };
+        self.outcome.useful += u64::from(calls);
+    }
+
+    fn count_unserved(&mut self, request: &Request, calls: u32) {
+        if self.counted(request) {
+            self.outcome.wasted += u64::from(calls);
+        }
+    }
+
     pub(super) fn admission_done(&mut self, at: usize, ran: Ran) {
         let mut out = Vec::new();
         let entry = &mut self.entries[at];
--- /dev/null
+++ b/crates/fake/src/experiment/rooms.rs
@@ -0,0 +1,76 @@
+//! Shards that have little room: a table and a plot of what callers get.
+
+use std::path::Path;
+
+use super::{Shape, room_conditions, room_policies, simulate};
+use crate::{Series, plot_lines};
+
+/// What one policy brought under one condition, over some seeds.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoomRow {
+    /// The condition.
+    pub condition: &'static str,
+    /// The policy.
+    pub policy: &'static str,
+    /// What the answers are worth, as a share of what they could be; the least
+    /// and the greatest of the seeds beside the mean.
+    pub credit: (f64, f64, f64),
+    /// Share of the requests that were answered in time.
+    pub in_time: f64,
+    /// Share of them that were answered at all.
+    pub served: f64,
+    /// Share of the calls that were for nothing.
+    pub wasted: f64,
+}
+
+/// Plays every policy under every condition with `seeds` seeds.
+#[must_use]
+pub fn run_rooms(shape: &Shape, seeds: u64) -> Vec<RoomRow> {
+    let mut rows = Vec::new();
+    for condition in room_conditions() {
+        for policy in room_policies() {
+            let runs = (1..=seeds).map(|seed| simulate(shape, &policy, &condition, seed));
+            let runs: Vec<_> = runs.collect();
+            let sum = |of: fn(&super::Outcome) -> u64| runs.iter().map(of).sum::<u64>() as f64;
+            let arrived = sum(|o| o.arrived).max(1.0);
+            let credits = runs.iter().map(|o| o.credit / o.arrived.max(1) as f64);
+            let calls = sum(|o| o.useful + o.wasted).max(1.0);
+            rows.push(RoomRow {
+                condition: condition.name,
+                policy: policy.name,
+                credit: (
+                    credits.clone().fold(f64::INFINITY, f64::min),
+                    credits.clone().sum::<f64>() / seeds.max(1) as f64,
+                    credits.fold(0.0, f64::max),
+                ),
+                in_time: sum(|o| o.in_time) / arrived,
+                served: sum(|o| o.served) / arrived,
+                wasted: sum(|o| o.wasted) / calls,
+            });
+        }
+    }
+    rows
+}
+
+/// Plots the mean credit of each policy over the conditions, in their order.
+///
+/// # Errors
+///
+/// The file can't be written.
+pub fn plot_rooms(path: &Path, rows: &[RoomRow]) -> Result<(), String> {
+    let conditions: Vec<&str> = room_conditions().iter().map(|c| c.name).collect();
+    let number = |name: &str| conditions.iter().position(|c| *c == name).unwrap_or(0);
+    let series: Vec<Series> = room_policies()
+        .iter()
+        .map(|policy| Series {
+            name: policy.name.to_owned(),
+            points: rows
+                .iter()
+                .filter(|row| row.policy == policy.name)
+                .map(|row| (number(row.condition) as f64 + 1.0, row.credit.1))
+                .collect(),
+        })
+        .collect();
+    let title = format!("Credit by condition: {}", conditions.join("; "));
+    plot_lines(path, &title, ("condition", "credit"), &series)
+}
--- a/crates/fake/src/experiment/shape.rs
+++ b/crates/fake/src/experiment/shape.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chestnut_unit::ServiceName;
+use chestnut_unit::{ServiceName, Share};
 
 use super::leaf::mean_factor;
 
@@ -41,6 +41,11 @@
     pub span: Duration,
     /// Calls that a leaf queues.
     pub queue: usize,
+    /// Within what time callers want their answers, if they take answers that
+    /// lack shards and come back once when refused.
+    pub goal: Option<Duration>,
+    /// Least share of shards that an answer covers.
+    pub least: Share,
 }
 
 impl Shape {
@@ -64,6 +69,26 @@
             far: Duration::from_micros(1500),
             span: Duration::from_secs(20),
             queue: 64,
+            goal: None,
+            least: Share::WHOLE,
+        }
+    }
+
+    /// Standings search on the users' platform, with six entries: longer calls,
+    /// answers that may lack one shard of ten, 200 ms to be in time.
+    #[must_use]
+    pub fn search() -> Self {
+        Self {
+            service: ServiceName::new("search").expect("a legal name"),
+            entries: 6,
+            pool: 6,
+            spare: 0,
+            median: Duration::from_millis(26),
+            far: Duration::from_micros(1400),
+            queue: 30,
+            goal: Some(Duration::from_millis(174)),
+            least: Share::from_permille(890),
+            ..Self::ladder()
         }
     }
 
--- a/crates/fake/src/experiment/sim.rs
+++ b/crates/fake/src/experiment/sim.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Condition, Fault, Outcome, Policy, Shape,
-    entry::Entry,
+    entry::{Entry, Request},
     faults::fault_times,
     leaf::{Job, Leaf},
 };
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) enum Event {
     Arrive,
+    /// A caller that was not served comes back.
+    Return(Box<Request>),
     AtLeaf {
         leaf: usize,
         job: Job,
@@ -160,6 +162,7 @@
         }
         match event {
             Event::Arrive => self.arrive(),
+            Event::Return(request) => self.returned(*request),
             Event::AtLeaf { leaf, job } => self.at_leaf(leaf, job),
             Event::LeafDone { leaf, number } => self.leaf_done(leaf, number),
             Event::Reply { job, leaf, result } => self.reply(&job, leaf, result),
--- a/crates/fake/src/experiment/wires.rs
+++ b/crates/fake/src/experiment/wires.rs
@@ -9,6 +9,7 @@
     Fault,
     entry::Waiting,
     leaf::{Job, Taken, service_time, unit},
+    policy::PAUSE,
     sim::{Event, Sim, WARM},
 };
 
@@ -168,6 +169,9 @@
                 span = span.mul_f64(*factor);
             }
         }
+        if self.condition.faults.contains(&Fault::Pauses) {
+            span += paused(leaf, self.now, span);
+        }
         self.after(span, Event::LeafDone { leaf, number });
     }
 
@@ -268,3 +272,24 @@
         self.event(at, id, |query, cx| query.tick(cx));
     }
 }
+
+/// Time between two pauses of a leaf.
+const PAUSE_EVERY: Duration = Duration::from_secs(6);
+/// Share of that by which the pauses of one leaf follow those of the one before:
+/// the golden section, which spreads any number of them.
+const PAUSE_SHIFT: f64 = 0.618;
+
+/// The time by which pauses of `leaf` delay a call that would run for `span`.
+fn paused(leaf: usize, now: Time, span: Duration) -> Duration {
+    let every = PAUSE_EVERY.as_secs_f64();
+    let phase = (leaf as f64 * PAUSE_SHIFT).fract() * every;
+    let since = (now.since(Time::ZERO).as_secs_f64() + every - phase) % every;
+    let since = Duration::from_secs_f64(since);
+    if since < PAUSE {
+        PAUSE - since
+    } else if since + span > PAUSE_EVERY {
+        PAUSE
+    } else {
+        Duration::ZERO
+    }
+}
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -7,7 +7,7 @@
 use chestnut_fake::{
     PlatformServer, TargetServer, World,
     demo::{Demo, objects_in},
-    experiment::{Shape, conditions, policies, run_table},
+    experiment::{Shape, conditions, plot_rooms, policies, run_rooms, run_table},
     load::{self, LoadConfig},
     membership,
 };
@@ -69,6 +69,18 @@
     /// Prints one row for each policy under each condition. The same seed gives
     /// the same figures.
     Experiment(ExperimentArgs),
+    /// Compare how many calls are kept under way where shards have little room,
+    /// in virtual time.
+    ///
+    /// Prints what callers get of each policy under each condition.
+    Rooms {
+        /// Seeds of arrivals and service times, from 1 on.
+        #[arg(long, default_value_t = 5)]
+        seeds: u64,
+        /// Write the credit to this file, as SVG.
+        #[arg(long)]
+        plot: Option<PathBuf>,
+    },
     /// Measure membership in virtual time: traffic of a member, time until all
     /// know of a death, deaths that were none.
     Membership {
@@ -168,6 +180,7 @@
         Command::Targets { folder, only } => targets(&folder, &only).await,
         Command::Settings { folder, out } => settings(&folder, &out),
         Command::Experiment(args) => experiment(&args),
+        Command::Rooms { seeds, plot } => rooms(seeds, plot.as_deref()),
         Command::Membership { members, seed } => {
             membership::run_table(&members, seed);
             Ok(())
@@ -261,6 +274,29 @@
     Ok(())
 }
 
+fn rooms(seeds: u64, plot: Option<&std::path::Path>) -> Result<(), Failure> {
+    let rows = run_rooms(&Shape::search(), seeds);
+    println!(
+        "| condition | policy | credit (least to most) | in time % | served % | wasted calls % |"
+    );
+    println!("|---|---|---|---|---|---|");
+    for row in &rows {
+        let (least, mean, most) = row.credit;
+        println!(
+            "| {} | {} | {mean:.3} ({least:.3} to {most:.3}) | {:.1} | {:.1} | {:.1} |",
+            row.condition,
+            row.policy,
+            row.in_time * 100.0,
+            row.served * 100.0,
+            row.wasted * 100.0,
+        );
+    }
+    if let Some(path) = plot {
+        plot_rooms(path, &rows)?;
+    }
+    Ok(())
+}
+
 fn experiment(args: &ExperimentArgs) -> Result<(), Failure> {
     let mut shape = match args.shape.as_str() {
         "ladder" => Shape::ladder(),
