--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -100,6 +100,8 @@
     coverage: Option<Coverage>,
     /// Leafs that were called for shards which are missing.
     in_vain: String,
+    /// Shards for want of whose room it was refused.
+    full: String,
 }
 
 /// Takes a request through the request path.
@@ -112,6 +114,7 @@
         calls: 0,
         coverage: None,
         in_vain: String::new(),
+        full: String::new(),
     };
     let reply = decide(shared, &ask, start, &mut account)
         .await
@@ -170,6 +173,11 @@
     account.calls = query.calls();
     account.coverage = Some(query.coverage());
     account.in_vain = names(shared, &query.in_vain());
+    account.full = query
+        .full()
+        .map(|name| name.as_str())
+        .collect::<Vec<_>>()
+        .join(" ");
     finish(running, &query);
     let failed = lock(&forwarded.failed).take();
     let after = come_back(span, shared.host.rng().next_u64());
@@ -307,7 +315,7 @@
     info!(shared.host.log, "forward: {outcome}";
         "request" => &ask.message.id, "rule" => rule, "book" => account.version,
         "left_ms" => ask.left.map(|left| left.as_millis() as u64),
-        "calls" => account.calls, "missing" => missing, "in_vain" => &account.in_vain, "run" => run,
+        "calls" => account.calls, "missing" => missing, "in_vain" => &account.in_vain, "full" => &account.full, "run" => run,
         "ms" => span.as_secs_f64() * 1e3);
 }
 
--- a/crates/route/src/choose.rs
+++ b/crates/route/src/choose.rs
@@ -3,7 +3,7 @@
 use chestnut_unit::{IndexVersion, Time};
 use rand::Rng;
 
-use crate::{Ix, Table, table::evicted_among};
+use crate::{Ix, Table, evict::evicted_among};
 
 /// How a replica is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -33,6 +33,7 @@
 mod choose;
 mod damped;
 mod estimate;
+mod evict;
 mod failure;
 mod faults;
 mod gauge;
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chestnut_unit::{Coverage, IndexVersion, Time};
+use chestnut_unit::{Coverage, IndexVersion, ShardName, Time};
 pub use config::{Action, CallId, CallKind, End, Give, QueryConfig, Repeat};
 use rand::Rng;
 use tries::kind_after;
@@ -72,6 +72,8 @@
     start: Time,
     /// What a query waits for that has made no call yet: the shards without room.
     held: Vec<PurseId>,
+    /// Shards whose want of room ended the query, as positions in the routes.
+    full: Vec<usize>,
     look: Time,
     /// Half of the time to the deadline: from here on what is missing may be
     /// hedged however much it is, as far as the budget goes.
@@ -104,6 +106,7 @@
             ends: Vec::new(),
             start: cx.now,
             held: Vec::new(),
+            full: Vec::new(),
             look: Time::MAX,
             half: cx.now + config.deadline.since(cx.now) / 2,
             first: 0,
@@ -275,6 +278,11 @@
         Coverage::from_merged(&asked, &merged)
     }
 
+    /// The shards whose want of room ended the query before its first call.
+    pub fn full(&self) -> impl Iterator<Item = &ShardName> {
+        self.full.iter().map(|at| &self.routes.shards[*at].name)
+    }
+
     /// Back ends that were called for shards which have no part, in order.
     #[must_use]
     pub fn in_vain(&self) -> Vec<Ix> {
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -5,7 +5,7 @@
 use chestnut_unit::Time;
 
 use super::{CallKind, Context, End, Give, HOP, Query, Shard, tries::may_repeat};
-use crate::{Ix, PurseId, Route};
+use crate::{Ix, PurseId};
 
 /// First wait for room: about what a slot of a busy back end takes to come
 /// free (5 slots, calls of 28 ms).
@@ -26,7 +26,9 @@
 
 /// What a query waits for before its first call.
 struct Lack {
-    /// The budgets of the shards without room, which name their services.
+    /// The shards without room, as positions in the pinned routes.
+    full: Vec<usize>,
+    /// Their budgets, which stand for their services.
     purses: Vec<PurseId>,
     /// Queries a second for which room comes free, each taking what it needs.
     rate: f64,
@@ -85,9 +87,10 @@
     /// What the query lacks to reach the least share, if anything.
     fn lack(&self, cx: &Context<'_>) -> Option<Lack> {
         let version = self.version();
-        let routes = self.shards.iter().map(|s| &self.routes.shards[s.route]);
-        let full = routes.filter(|r| !cx.table.any_room(&r.replicas, version, cx.now));
-        let full: Vec<&Route> = full.collect();
+        let routes = self.shards.iter().map(|s| s.route);
+        let route = |number: usize| &self.routes.shards[number];
+        let has_room = |number| cx.table.any_room(&route(number).replicas, version, cx.now);
+        let full: Vec<usize> = routes.filter(|number| !has_room(*number)).collect();
         let room = self.shards.len() - full.len();
         let needed = (1..=full.len()).find(|more| self.reaches_least(room + more));
         let needed = match room > 0 && self.reaches_least(room) {
@@ -95,12 +98,14 @@
             false => needed.unwrap_or(full.len()),
         };
         let class = self.config.class;
-        let rates = full
-            .iter()
-            .map(|r| cx.table.drain_rate(class, &r.replicas, version, cx.now));
+        let rate = |number: &usize| {
+            let replicas = &route(*number).replicas;
+            cx.table.drain_rate(class, replicas, version, cx.now)
+        };
         Some(Lack {
-            rate: rates.sum::<f64>() / needed.max(1) as f64,
-            purses: full.iter().map(|r| r.purse).collect(),
+            rate: full.iter().map(rate).sum::<f64>() / needed.max(1) as f64,
+            purses: full.iter().map(|number| route(*number).purse).collect(),
+            full,
         })
     }
 
@@ -112,6 +117,7 @@
         let left = until.since(cx.now).as_secs_f64();
         let hopeless = new && f64::from(ahead + 1) > lack.rate * left;
         if hopeless || cx.now >= until {
+            self.full = lack.full;
             self.finish(End::Partial(Give::Full), cx);
             return;
         }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,9 +1,6 @@
 //! What an entry knows of the back ends of one service.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use chestnut_unit::{IndexVersion, Time};
 
@@ -485,23 +482,3 @@
 const FAR_HANDICAP: f64 = 1.7;
 /// Factor on the score of a leaf that has just appeared.
 const COLD_HANDICAP: f64 = 3.0;
-
-/// The set of back ends that are evicted among `replicas`, at most a third of
-/// them, but one of two: if most replicas of a shard look faulty, the fault is
-/// more likely on our side or general, and calling nobody would turn it into
-/// an outage. One of two must go, or a frozen holder of a leaf that has two
-/// would hold up half of the queries until it is known to be gone.
-#[must_use]
-pub(crate) fn evicted_among(table: &Table, replicas: &[Ix], now: Time) -> BTreeSet<Ix> {
-    let most = match replicas.len() {
-        0 | 1 => 0,
-        2 => 1,
-        more => more / 3,
-    };
-    replicas
-        .iter()
-        .copied()
-        .filter(|ix| table.evicted_until(*ix, now).is_some())
-        .take(most)
-        .collect()
-}
