Call shards that wait together together again

Waiting shards were called one by one since they wait for more than a rest; a holder that had shed one call for thirty shards would have got thirty. Entries on the users' platform ask one shard a call, so nothing changes there. Test: shards_that_were_shed_together_are_called_together, red before.

--- a/crates/route/src/query/config.rs
+++ b/crates/route/src/query/config.rs
@@ -9,7 +9,7 @@
 pub struct CallId(pub u32);
 
 /// Why a call is made.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum CallKind {
     /// The first call for its shards.
     First,
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -1,6 +1,6 @@
 //! Shards, and whole queries, that wait for room at their back ends.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use chestnut_unit::Time;
 
@@ -198,34 +198,40 @@
         }
     }
 
-    /// Whether a shard is left to other queries, which can't do without it.
-    fn gives_way(&self, position: usize, cx: &Context<'_>) -> bool {
+    /// Leaves a shard to other queries, which can't do without it, if this one
+    /// can; tells whether it does.
+    fn give_way(&mut self, position: usize, cx: &Context<'_>) -> bool {
         let route = &self.routes.shards[self.shards[position].route];
         let sure = |shard: &&Shard<P>| shard.part.is_some() || shard.live > 0;
         let enough = self.reaches_least(self.shards.iter().filter(sure).count());
-        enough && cx.table.held(route.purse) > 0
+        let gives = enough && cx.table.held(route.purse) > 0;
+        if gives {
+            self.call_later(position, CallKind::First, self.next_look(cx.now));
+        }
+        gives
     }
 
     /// Makes the calls whose time has come.
     pub(super) fn call_waiting(&mut self, cx: &mut Context<'_>) {
-        let mut due: Vec<(usize, CallKind)> = Vec::new();
+        // One call may ask a back end for several shards, so those that are due
+        // for the same reason are called together.
+        let mut due: BTreeMap<CallKind, Vec<usize>> = BTreeMap::new();
         for (position, shard) in self.shards.iter_mut().enumerate() {
             let Some(later) = shard.later.filter(|later| later.at <= cx.now) else {
                 continue;
             };
             shard.later = None;
             shard.rested |= later.kind == CallKind::Reshed;
-            due.push((position, later.kind));
+            due.entry(later.kind).or_default().push(position);
         }
         if due.is_empty() {
             return;
         }
-        for (position, kind) in due {
-            if kind == CallKind::First && self.gives_way(position, cx) {
-                self.call_later(position, kind, self.next_look(cx.now));
-            } else {
-                self.call(&[position], kind, cx);
+        for (kind, mut positions) in due {
+            if kind == CallKind::First {
+                positions.retain(|position| !self.give_way(*position, cx));
             }
+            self.call(&positions, kind, cx);
         }
         self.stuck = true;
         self.settle(cx);
--- a/crates/route/tests/regressions.rs
+++ b/crates/route/tests/regressions.rs
@@ -50,7 +50,11 @@
 }
 
 impl OneShard {
-    fn start(mut table: Table, replicas: Vec<Ix>, now: Time) -> Self {
+    fn start(table: Table, replicas: Vec<Ix>, now: Time) -> Self {
+        Self::start_over(table, one_shard(replicas, V1), now)
+    }
+
+    fn start_over(mut table: Table, routes: Routes, now: Time) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut out = Vec::new();
         let config = QueryConfig::new(now + Duration::from_secs(1), Share::WHOLE);
@@ -60,7 +64,7 @@
             rng: &mut rng,
             out: &mut out,
         };
-        let query = Query::start(Arc::new(one_shard(replicas, V1)), None, config, &mut cx);
+        let query = Query::start(Arc::new(routes), None, config, &mut cx);
         Self {
             table,
             rng,
@@ -378,3 +382,32 @@
         assert_eq!(chosen == Some(replicas[0]), near);
     }
 }
+
+/// A holder that is full gets many calls where it had refused one.
+/// One call asks it for several shards; it sheds the call, and after a rest the
+/// shards are asked for again, in one call as before.
+#[test]
+fn shards_that_were_shed_together_are_called_together() {
+    let mut table = Table::new(TableConfig::default());
+    let replicas = leafs(&mut table, 1);
+    let mut routes = one_shard(replicas.clone(), V1);
+    let second = ShardName::new("s1").unwrap();
+    routes.shards.push(Route {
+        name: second,
+        ..routes.shards[0].clone()
+    });
+    let mut one = OneShard::start_over(table, routes, at(1));
+    let calls = std::mem::take(&mut one.out);
+    let [Action::Call { call, shards, .. }] = &calls[..] else {
+        panic!("{calls:?}");
+    };
+    assert_eq!(shards.len(), 2);
+    let shed = Failure::Refused(Refusal::Shed);
+    let call = *call;
+    let mut again = one.event(at(2), |query, cx| query.fail(call, shed, cx));
+    again.extend(one.event(at(10), |query, cx| query.tick(cx)));
+    let [Action::Call { shards, .. }] = &again[..] else {
+        panic!("{again:?}");
+    };
+    assert_eq!(shards.len(), 2);
+}
