--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -210,3 +210,28 @@
     let reply = relay.forward(ask("r", "/q/x")).await;
     assert_eq!(missing(&reply), Some(1));
 }
+
+/// A route that was moved goes back to its old service.
+/// An entry hears an older book after a newer one, from a peer that has heard
+/// less or from a copy of the store that lags. It keeps the newer one.
+#[tokio::test(start_paused = true)]
+async fn an_older_book_is_not_taken() {
+    let stage = Stage::default();
+    stage.add_leafs("archive", 2, 10);
+    let version = |number, prefix: &str| {
+        let target = Target::One(name("archive"));
+        book(number, vec![rule(prefix, Kind::Idempotent, target)])
+    };
+    stage.store.put_book(version(2, "/new/"));
+    let relay = stage.serving(1).await;
+    stage.store.put_book(version(1, "/old/"));
+    sleep(Duration::from_secs(3)).await;
+    assert!(matches!(
+        relay.forward(ask("r1", "/new/x")).await,
+        Reply::Whole(_)
+    ));
+    assert!(matches!(
+        relay.forward(ask("r2", "/old/x")).await,
+        Reply::Declined(_)
+    ));
+}
