Known red: entries that are alike and more than a leaf's connections

Leafs take 40 connections and reset the rest; all 100 entries carry callers, as all are as strong as the weakest. Ruled out: overload (244 refusals), leafs that shed (4 calls).

--- a/crates/relay/tests/allot.rs
+++ b/crates/relay/tests/allot.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chestnut_fleet::{Candidate, carriers};
 use chestnut_relay::{Allotment, ExtraCalls, Part, Rate};
 use chestnut_unit::Time;
 use rstest::rstest;
@@ -58,3 +59,26 @@
     let later = rate.take(count + 50, Time::ZERO + Duration::from_secs(20));
     assert!(later <= 2, "{later}");
 }
+
+/// One request in five fails, all the time.
+/// A hundred entries are alike, so callers are sent to all of them, and each
+/// opens a connection to every leaf. Leafs take 40 and reset the rest.
+#[test]
+fn entries_that_are_alike_stay_within_the_connections() {
+    const ENTRIES: u32 = 100;
+    const CONNECTIONS: usize = 40;
+    let alike = |id| Candidate {
+        id,
+        weight: 600,
+        load: 10,
+    };
+    let candidates: Vec<Candidate<u32>> = (0..ENTRIES).map(alike).collect();
+    let count = carriers(&candidates).len();
+    let allotment = Allotment {
+        carriers: count,
+        others: ENTRIES as usize - count,
+        part: Part::Carrier,
+    };
+    let open = allotment.connections(CONNECTIONS) * count;
+    assert!(open <= CONNECTIONS, "{open} connections of carriers alone");
+}
