Let 16 entries of one strength carry callers, more only while the load wants them

Ruled out: a part of the replicas for each carrier, which helps up to 1.5 times the connections and costs each a replica to hedge on; lent connections, a call more. Change: beyond 16 carriers alike ones are added only until there is room for eight times the load; among equal ones the failure domains take turns. Before and after: entries_that_are_alike_stay_within_the_connections red, then green; red again with the bound taken out.

--- a/crates/fleet/src/carriers.rs
+++ b/crates/fleet/src/carriers.rs
@@ -19,10 +19,20 @@
 /// Members whose weight is at least this part of the weakest carrier's are as
 /// good as it.
 const ALIKE_PERCENT: u64 = 90;
+/// Carriers beyond which alike ones are added only while the load wants them.
+/// Each opens connections to every leaf: of 100 alike entries over leafs that
+/// take 40 connections all carried, and leafs reset what was beyond, a fifth of
+/// the requests. 16 leave two connections each, and the loss of a failure domain
+/// of three leaves ten.
+const ALIKE_LEAST: usize = 16;
+/// Capacity that carriers have for each call up to which alike ones are added
+/// all the same: four times what is needed without any loss.
+const ALIKE_ROOM: u64 = 4 * ROOM;
 
 /// The members that callers are sent to, strongest first: as few of the
-/// strongest as have room for twice the present load, and all that are as
-/// strong as the weakest of them.
+/// strongest as have room for twice the present load, and of those that are as
+/// strong as the weakest of them so many that a lost one hardly shows. Among equal
+/// ones the first in the order of `candidates` are taken.
 ///
 /// A request over many shards costs a weak member as much time as its answer
 /// may take. Spread over all members the load would also leave each with a
@@ -39,7 +49,8 @@
     for candidate in order {
         let weight = u64::from(candidate.weight);
         let alike = weight * 100 >= weakest.saturating_mul(ALIKE_PERCENT);
-        if enough(taken.len(), room) && !alike {
+        let plenty = taken.len() >= ALIKE_LEAST && room >= load * ALIKE_ROOM;
+        if enough(taken.len(), room) && (!alike || plenty) {
             break;
         }
         if !enough(taken.len(), room) {
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -98,12 +98,12 @@
         let swim = lock(&self.swim);
         let own = &shared.settings.entry.member;
         let own_serves = shared.phase() == Phase::Serving;
-        let known: Vec<&Member> = swim
+        let known = swim
             .view
             .working()
             .filter(is_started)
-            .filter(|member| member.id != *own || own_serves)
-            .collect();
+            .filter(|member| member.id != *own || own_serves);
+        let known = by_turns(known);
         let alive = |member: &&&Member| member.liveness == Liveness::Alive;
         let others = known.iter().filter(alive).any(|member| member.id != *own);
         // When every other entry looks silent it is more likely this one that
@@ -127,7 +127,7 @@
     fn allotment(&self) -> Allotment {
         let swim = lock(&self.swim);
         let own = swim.view.own().id.clone();
-        let present: Vec<&Member> = swim.view.present().collect();
+        let present = by_turns(swim.view.present());
         let list: Vec<Candidate<&MemberId>> = present
             .iter()
             .map(|member| self.candidate(&swim, member, &member.id))
@@ -196,6 +196,21 @@
     }
 }
 
+/// Members of all failure domains in turn. Where only some of those that are alike
+/// carry callers, the loss of one domain must not take all of them.
+fn by_turns<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<&'a Member> {
+    let mut turns: BTreeMap<&DomainName, usize> = BTreeMap::new();
+    let mut list: Vec<(usize, &Member)> = members
+        .map(|member| {
+            let turn = turns.entry(&member.domain).or_default();
+            *turn += 1;
+            (*turn, member)
+        })
+        .collect();
+    list.sort_by_key(|(turn, _)| *turn);
+    list.into_iter().map(|(_, member)| member).collect()
+}
+
 /// A member that is only known by its advert may not have started.
 fn is_started(member: &&Member) -> bool {
     member.incarnation > Incarnation(0)
