Take a leaf that starts again under its id for a new one; entries that can't be read name no leaf

Ruled out: telling lives apart by their counters, which a late event looks like too; taking a spoilt entry for a deleted one, which leaves its leaf callable for 2.2 s. Change: lives are ordered by their start where it is told, else by their address; each has a number of its own in the table and connections of its own. Objects are decoded one by one; what can't be read is told as such, also to peers, and logged once for each change.

--- a/crates/port/schema/feed.capnp
+++ b/crates/port/schema/feed.capnp
@@ -4,7 +4,7 @@
 struct Item {
   name @0 :Text;
   deleted @1 :Bool;
-  value @2 :Data;  # JSON; empty if deleted
+  value @2 :Data;  # JSON; empty if deleted, or if the object can't be read
 }
 
 struct Batch {
--- a/crates/port/src/exchange.rs
+++ b/crates/port/src/exchange.rs
@@ -4,7 +4,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -72,17 +75,32 @@
     until: Time,
 }
 
-#[derive(Default)]
 struct Conns {
     idle: Vec<Idle>,
     open: usize,
     opened: u64,
+    /// Tells these connections from those to an earlier life of the back end,
+    /// which may still be in use.
+    number: u64,
+}
+
+impl Conns {
+    fn new(number: u64) -> Self {
+        Self {
+            idle: Vec::new(),
+            open: 0,
+            opened: 0,
+            number,
+        }
+    }
 }
 
 struct Inner {
     config: ExchangeConfig,
     clock: Clock,
     leafs: Mutex<BTreeMap<LeafId, Conns>>,
+    /// Numbers given to [`Conns`] so far.
+    numbers: AtomicU64,
 }
 
 /// Connections to back ends over HTTP/1.1.
@@ -99,6 +117,7 @@
             config,
             clock,
             leafs: Mutex::new(BTreeMap::new()),
+            numbers: AtomicU64::new(0),
         };
         Self {
             inner: Arc::new(inner),
@@ -164,11 +183,15 @@
         let now = self.inner.clock.now();
         let mut seat = {
             let mut leafs = lock(&self.inner.leafs);
-            let conns = leafs.entry(leaf.clone()).or_default();
+            let numbers = &self.inner.numbers;
+            let conns = leafs
+                .entry(leaf.clone())
+                .or_insert_with(|| Conns::new(numbers.fetch_add(1, Ordering::Relaxed)));
+            let number = conns.number;
             while let Some(idle) = conns.idle.pop() {
                 let sound = idle.sender.is_ready() && now < idle.until;
                 if sound && now.since(idle.since) <= longest {
-                    let seat = Seat::new(self, leaf, Some(idle.task));
+                    let seat = Seat::new(self, leaf, number, Some(idle.task));
                     return Ok(Lease {
                         sender: idle.sender,
                         reused: true,
@@ -183,7 +206,7 @@
             }
             conns.open += 1;
             conns.opened += 1;
-            Seat::new(self, leaf, None)
+            Seat::new(self, leaf, number, None)
         };
         let opened = timeout(self.inner.config.connect, self.open(address)).await;
         match opened {
@@ -240,15 +263,18 @@
 struct Seat {
     exchanges: Exchanges,
     leaf: LeafId,
+    /// Number of the [`Conns`] that it belongs to.
+    number: u64,
     task: Option<AbortHandle>,
     kept: bool,
 }
 
 impl Seat {
-    fn new(exchanges: &Exchanges, leaf: &LeafId, task: Option<AbortHandle>) -> Self {
+    fn new(exchanges: &Exchanges, leaf: &LeafId, number: u64, task: Option<AbortHandle>) -> Self {
         Self {
             exchanges: exchanges.clone(),
             leaf: leaf.clone(),
+            number,
             task,
             kept: false,
         }
@@ -263,7 +289,9 @@
         if let Some(task) = &self.task {
             task.abort();
         }
-        if let Some(conns) = lock(&self.exchanges.inner.leafs).get_mut(&self.leaf) {
+        let mut leafs = lock(&self.exchanges.inner.leafs);
+        let conns = leafs.get_mut(&self.leaf);
+        if let Some(conns) = conns.filter(|conns| conns.number == self.number) {
             conns.open = conns.open.saturating_sub(1);
         }
     }
@@ -298,7 +326,12 @@
         let now = exchanges.inner.clock.now();
         let until = now + idle.saturating_sub(IDLE_MARGIN);
         let mut leafs = lock(&exchanges.inner.leafs);
-        let (Some(conns), Some(task)) = (leafs.get_mut(&seat.leaf), seat.task.clone()) else {
+        // A connection to a life that is over, kept for the next one, would bring
+        // calls to a process that has gone or to whoever has its address.
+        let number = seat.number;
+        let conns = leafs.get_mut(&seat.leaf);
+        let conns = conns.filter(|conns| conns.number == number);
+        let (Some(conns), Some(task)) = (conns, seat.task.clone()) else {
             drop(leafs);
             return answer;
         };
--- a/crates/port/src/feed.rs
+++ b/crates/port/src/feed.rs
@@ -29,8 +29,53 @@
 pub struct Item<T> {
     /// Its name.
     pub name: String,
-    /// What it holds; `None` if it was deleted.
-    pub value: Option<T>,
+    /// What it holds now.
+    pub content: Content<T>,
+}
+
+/// What an object holds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Content<T> {
+    /// A value.
+    Is(T),
+    /// It was deleted.
+    Deleted,
+    /// Something that can't be read. Unlike a deletion, which an outage of the
+    /// store may cause too, it says for sure that the value before it is over.
+    Malformed,
+}
+
+impl<T> Content<T> {
+    /// The value, if there is one.
+    #[must_use]
+    pub fn value(self) -> Option<T> {
+        match self {
+            Self::Is(value) => Some(value),
+            Self::Deleted | Self::Malformed => None,
+        }
+    }
+
+    /// The content with its value changed by `f`.
+    pub fn map<U>(self, f: impl FnOnce(T) -> U) -> Content<U> {
+        match self {
+            Self::Is(value) => Content::Is(f(value)),
+            Self::Deleted => Content::Deleted,
+            Self::Malformed => Content::Malformed,
+        }
+    }
+
+    /// The content with its value changed by `f`, which may fail.
+    ///
+    /// # Errors
+    ///
+    /// That of `f`.
+    pub fn try_map<U, E>(self, f: impl FnOnce(T) -> Result<U, E>) -> Result<Content<U>, E> {
+        Ok(match self {
+            Self::Is(value) => Content::Is(f(value)?),
+            Self::Deleted => Content::Deleted,
+            Self::Malformed => Content::Malformed,
+        })
+    }
 }
 
 /// All objects, or those that changed.
--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -10,7 +10,7 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::{
-    Batch, Feed, FeedError, Freshness, Item, PeerError,
+    Batch, Content, Feed, FeedError, Freshness, Item, PeerError,
     feed_capnp::{feeds, reply},
     rpc::RpcNet,
 };
@@ -163,7 +163,12 @@
         let value = Bytes::copy_from_slice(item.get_value()?);
         Ok(Item {
             name: item.get_name()?.to_string()?,
-            value: (!item.get_deleted()).then_some(value),
+            content: match item.get_deleted() {
+                true => Content::Deleted,
+                // No JSON is empty.
+                false if value.is_empty() => Content::Malformed,
+                false => Content::Is(value),
+            },
         })
     });
     Ok(Ok(Batch {
@@ -174,10 +179,9 @@
 
 fn parse<T: DeserializeOwned>(raw: RawBatch) -> Result<Batch<T>, FeedError> {
     let items = raw.items.into_iter().map(|item| {
-        let value = item.value.map(|json| serde_json::from_slice(&json));
         Ok(Item {
             name: item.name,
-            value: value.transpose()?,
+            content: item.content.try_map(|json| serde_json::from_slice(&json))?,
         })
     });
     Ok(Batch {
@@ -207,8 +211,10 @@
     for (at, item) in (0u32..).zip(&batch.items) {
         let mut out = items.reborrow().get(at);
         out.set_name(item.name.as_str());
-        out.set_deleted(item.value.is_none());
-        out.set_value(item.value.as_deref().unwrap_or_default());
+        out.set_deleted(item.content == Content::Deleted);
+        if let Content::Is(value) = &item.content {
+            out.set_value(value);
+        }
     }
 }
 
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -45,7 +45,7 @@
 
 pub use clock::Clock;
 pub use exchange::{Exchange, ExchangeConfig, ExchangeError, Exchanges};
-pub use feed::{Batch, Feed, FeedError, Freshness, Item};
+pub use feed::{Batch, Content, Feed, FeedError, Freshness, Item};
 pub use feed_rpc::{FeedNet, FeedService, PeerFeed, RawBatch};
 pub use forward::{Forward, LeafCall, LeafFailure, LeafReply, Message};
 pub use http::{HttpClient, HttpError, HttpReply};
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use chestnut_unit::{DomainName, LeafId, ServiceName, Time};
+use chestnut_unit::{DomainName, Incarnation, LeafId, ServiceName, Time};
 use serde::{Deserialize, Serialize};
 
 /// What a leaf says of itself.
@@ -29,6 +29,9 @@
     pub state: LeafState,
     /// How much longer it is slow after its start.
     pub warmup: Duration,
+    /// Which of its lives this is, if it says so.
+    #[serde(default)]
+    pub life: Option<Incarnation>,
 }
 
 impl LeafEntry {
@@ -45,6 +48,14 @@
     }
 }
 
+/// How the life that an entry is of stands to the one that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Life {
+    Earlier,
+    Same,
+    Later,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     entry: LeafEntry,
@@ -59,6 +70,11 @@
 pub enum Moved {
     /// A leaf is new, or its entry changed.
     Came(LeafId, LeafEntry),
+    /// A leaf has started again under its id: what is known of it, its
+    /// connections and its leaving belong to the life before.
+    Reborn(LeafId, LeafEntry),
+    /// An entry of an earlier life was passed over.
+    Outdated(LeafId),
     /// A leaf is leaving. It is called only where no other can be.
     Leaves(LeafId),
     /// A leaf that is leaving takes no new work any more.
@@ -70,6 +86,10 @@
     Gone(LeafId),
 }
 
+/// Leafs that are gone whose latest life is remembered. A list or a peer that is
+/// behind by more departures than that could bring one back for a moment.
+const LIVES_MAX: usize = 4096;
+
 /// The leafs that the store lists.
 ///
 /// A missing entry has two causes that look alike: the leaf has gone, or the
@@ -84,6 +104,9 @@
 #[derive(Clone, Debug)]
 pub struct Leafs {
     known: BTreeMap<LeafId, Known>,
+    /// The latest life of each leaf that said which it is, also after it has
+    /// gone.
+    lives: BTreeMap<LeafId, Incarnation>,
     lapse: Duration,
     linger: Duration,
 }
@@ -95,6 +118,7 @@
     pub fn new(lapse: Duration, linger: Duration) -> Self {
         Self {
             known: BTreeMap::new(),
+            lives: BTreeMap::new(),
             lapse,
             linger,
         }
@@ -142,20 +166,32 @@
         }
     }
 
-    /// Takes a new or changed entry.
+    /// Takes a new or changed entry. One of an earlier life than the latest that
+    /// was seen comes from a stale list, out of order or from a peer that is
+    /// behind: it would send calls to an address that the leaf has left.
     pub fn changed(&mut self, id: LeafId, entry: LeafEntry, now: Time, out: &mut Vec<Moved>) {
         let old = self.known.get(&id);
         if old.is_some_and(|known| known.missing.is_none() && known.entry.is_same(&entry)) {
             return;
         }
+        let life = self.life_of(&id, &entry);
+        if life == Life::Earlier {
+            out.push(Moved::Outdated(id));
+            return;
+        }
+        self.remember(&id, entry.life);
+        if life == Life::Later {
+            out.push(Moved::Reborn(id.clone(), entry.clone()));
+        }
         let linger = match entry.state {
             LeafState::Ready => None,
             LeafState::Draining => Some(now + self.linger),
         };
-        out.push(match entry.state {
-            LeafState::Ready => Moved::Came(id.clone(), entry.clone()),
-            LeafState::Draining => Moved::Leaves(id.clone()),
-        });
+        match entry.state {
+            LeafState::Ready if life == Life::Later => {}
+            LeafState::Ready => out.push(Moved::Came(id.clone(), entry.clone())),
+            LeafState::Draining => out.push(Moved::Leaves(id.clone())),
+        }
         let known = Known {
             entry,
             missing: None,
@@ -164,6 +200,45 @@
         self.known.insert(id, known);
     }
 
+    /// Takes it that an entry can't be read: it names no leaf any more. Unlike a
+    /// deletion it is no matter of an outage, so there is nothing to wait for.
+    pub fn malformed(&mut self, id: &LeafId, out: &mut Vec<Moved>) {
+        if self.known.remove(id).is_some() {
+            out.push(Moved::Gone(id.clone()));
+        }
+    }
+
+    /// How the life that `entry` is of stands to the latest that is known. A leaf
+    /// that moved has started again, whether it says so or not: what is known of
+    /// the old address says nothing of the new one.
+    fn life_of(&self, id: &LeafId, entry: &LeafEntry) -> Life {
+        let moved = |known: &Known| known.entry.address != entry.address;
+        match (entry.life, self.lives.get(id)) {
+            (Some(new), Some(latest)) if new < *latest => Life::Earlier,
+            (Some(new), Some(latest)) if new > *latest => Life::Later,
+            _ if self.known.get(id).is_some_and(moved) => Life::Later,
+            _ => Life::Same,
+        }
+    }
+
+    /// Keeps the latest life of a leaf.
+    fn remember(&mut self, id: &LeafId, life: Option<Incarnation>) {
+        let Some(life) = life else {
+            return;
+        };
+        self.lives.insert(id.clone(), life);
+        if self.lives.len() > self.known.len() + LIVES_MAX {
+            let oldest = self
+                .lives
+                .iter()
+                .filter(|(id, _)| !self.known.contains_key(*id));
+            let oldest = oldest
+                .min_by_key(|(_, life)| **life)
+                .map(|(id, _)| id.clone());
+            oldest.and_then(|id| self.lives.remove(&id));
+        }
+    }
+
     /// Takes it that an entry was deleted.
     pub fn deleted(&mut self, id: &LeafId, now: Time, out: &mut Vec<Moved>) {
         let Some(known) = self.known.get_mut(id) else {
--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use chestnut_port::{Batch, FeedError, Item};
+use chestnut_port::{Batch, Content, FeedError, Item};
 
 /// Changes that are remembered. A follower that is further behind reads
 /// everything; the ones that keep up are within a few changes.
@@ -11,7 +11,8 @@
 /// The objects of one list, and its last changes.
 #[derive(Clone, Debug)]
 pub struct Mirror<T> {
-    values: BTreeMap<String, T>,
+    /// What each object holds; `None` if that can't be read.
+    values: BTreeMap<String, Option<T>>,
     /// Revision and name, oldest first.
     changes: VecDeque<(u64, String)>,
     /// Changes after this revision are all remembered.
@@ -42,11 +43,10 @@
 
     /// Takes the whole list.
     pub fn listed(&mut self, batch: &Batch<T>) {
-        let present = batch.items.iter().filter_map(|item| {
-            let value = item.value.clone()?;
-            Some((item.name.clone(), value))
-        });
-        self.values = present.collect();
+        self.values.clear();
+        for item in &batch.items {
+            self.put(item);
+        }
         self.changes.clear();
         self.from = batch.revision;
         self.heard = Some(batch.revision);
@@ -55,10 +55,7 @@
     /// Takes changes.
     pub fn changed(&mut self, batch: &Batch<T>) {
         for item in &batch.items {
-            match &item.value {
-                Some(value) => self.values.insert(item.name.clone(), value.clone()),
-                None => self.values.remove(&item.name),
-            };
+            self.put(item);
             let change = (batch.revision, item.name.clone());
             self.changes.push_back(change);
         }
@@ -77,12 +74,8 @@
     /// Nothing has been heard yet.
     pub fn all(&self) -> Result<Batch<T>, FeedError> {
         let revision = self.revision()?;
-        let item = |(name, value): (&String, &T)| Item {
-            name: name.clone(),
-            value: Some(value.clone()),
-        };
         Ok(Batch {
-            items: self.values.iter().map(item).collect(),
+            items: self.values.keys().map(|name| self.item(name)).collect(),
             revision,
         })
     }
@@ -99,17 +92,34 @@
         }
         let new = self.changes.iter().filter(|(at, _)| *at > revision);
         let names: BTreeSet<&String> = new.map(|(_, name)| name).collect();
-        let item = |name: &String| Item {
-            name: name.clone(),
-            value: self.values.get(name).cloned(),
-        };
         Ok(Batch {
-            items: names.into_iter().map(item).collect(),
+            items: names.into_iter().map(|name| self.item(name)).collect(),
             // A follower may have heard more, from another entry.
             revision: heard.max(revision),
         })
     }
 
+    fn put(&mut self, item: &Item<T>) {
+        let name = item.name.clone();
+        match &item.content {
+            Content::Is(value) => self.values.insert(name, Some(value.clone())),
+            Content::Malformed => self.values.insert(name, None),
+            Content::Deleted => self.values.remove(&name),
+        };
+    }
+
+    fn item(&self, name: &str) -> Item<T> {
+        let content = match self.values.get(name) {
+            Some(Some(value)) => Content::Is(value.clone()),
+            Some(None) => Content::Malformed,
+            None => Content::Deleted,
+        };
+        Item {
+            name: name.to_owned(),
+            content,
+        }
+    }
+
     fn revision(&self) -> Result<u64, FeedError> {
         self.heard
             .ok_or_else(|| FeedError::Unavailable("nothing heard yet".to_owned()))
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -114,10 +114,11 @@
 
 fn raw<T: Serialize>(batch: Batch<T>) -> Result<RawBatch, FeedError> {
     let items = batch.items.into_iter().map(|item| {
-        let json = item.value.map(|value| serde_json::to_vec(&value));
         Ok(Item {
             name: item.name,
-            value: json.transpose()?.map(Bytes::from),
+            content: item
+                .content
+                .try_map(|value| serde_json::to_vec(&value).map(Bytes::from))?,
         })
     });
     Ok(Batch {
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -266,16 +266,19 @@
 pub(crate) fn take_moves(state: &mut State, moves: &[Moved], own: &RelaySettings, now: Time) {
     for moved in moves {
         match moved {
-            Moved::Came(id, entry) => came(state, id, entry, own, now),
+            Moved::Came(id, entry) => {
+                // A leaf that was there before this entry is not a cold one.
+                let since = match entry.warmup.is_zero() {
+                    true => Time::ZERO,
+                    false => now,
+                };
+                came(state, id, entry, own, since, now);
+            }
+            Moved::Reborn(id, entry) => reborn(state, id, entry, own, now),
+            Moved::Outdated(_) => {}
             Moved::Leaves(id) | Moved::Missing(id) => set_doubt(state, id, true),
             Moved::Closed(id) => set_leaving(state, id, now),
-            Moved::Gone(id) => {
-                set_leaving(state, id, now);
-                let ix = state.table.find(&Backend::Leaf(id.clone()));
-                if let Some(ix) = ix {
-                    state.extra.places.remove(&ix);
-                }
-            }
+            Moved::Gone(id) => gone(state, id, now),
         }
     }
     if !moves.is_empty() {
@@ -283,13 +286,15 @@
     }
 }
 
-fn came(state: &mut State, id: &LeafId, entry: &LeafEntry, own: &RelaySettings, now: Time) {
-    // A leaf that was there before this entry is not a cold one.
-    let since = if entry.warmup.is_zero() {
-        Time::ZERO
-    } else {
-        now
-    };
+/// Takes a leaf that started at `since`.
+fn came(
+    state: &mut State,
+    id: &LeafId,
+    entry: &LeafEntry,
+    own: &RelaySettings,
+    since: Time,
+    now: Time,
+) {
     let ix = state
         .table
         .add(Backend::Leaf(id.clone()), entry.slots, since);
@@ -307,6 +312,21 @@
     set_doubt(state, id, false);
 }
 
+fn gone(state: &mut State, id: &LeafId, now: Time) {
+    set_leaving(state, id, now);
+    if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
+        state.extra.places.remove(&ix);
+    }
+}
+
+/// Takes a new life of a leaf: calls to the old one end as they end, and say
+/// nothing of the new one.
+fn reborn(state: &mut State, id: &LeafId, entry: &LeafEntry, own: &RelaySettings, now: Time) {
+    gone(state, id, now);
+    state.table.renew(&Backend::Leaf(id.clone()));
+    came(state, id, entry, own, now, now);
+}
+
 fn set_leaving(state: &mut State, id: &LeafId, now: Time) {
     if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
         state.table.set_leaving(ix, true, now);
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -4,7 +4,7 @@
 
 use chestnut_book::RouteBook;
 use chestnut_flow::lock;
-use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
+use chestnut_port::{Batch, Content, Feed, FeedError, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
 use slog::{info, warn};
 use tokio::time::{sleep, sleep_until, timeout};
@@ -201,12 +201,15 @@
 
 fn take_book(shared: &Shared, batch: Batch<RouteBook>) {
     for item in batch.items {
-        let Some(book) = item.value else {
-            warn!(
-                shared.host.log,
-                "watch: the book was deleted, the last one stays in force"
-            );
-            continue;
+        let book = match item.content {
+            Content::Is(book) => book,
+            Content::Deleted | Content::Malformed => {
+                warn!(
+                    shared.host.log,
+                    "watch: the book was deleted or can't be read, the last one stays in force"
+                );
+                continue;
+            }
         };
         let (version, rules) = (book.version, book.rules().count());
         if shared.take_book(book) {
@@ -225,8 +228,7 @@
         let mut state = lock(&shared.cell.state);
         let leafs = &mut state.extra.leafs;
         if whole {
-            let list = batch.items.into_iter().filter_map(|item| item.value);
-            leafs.listed(list.collect(), now, &mut moves);
+            take_list(leafs, batch.items, now, &mut moves);
         } else {
             for item in batch.items {
                 take_leaf(leafs, item, now, &mut moves);
@@ -240,19 +242,34 @@
     serve_if_ready(shared);
 }
 
+fn take_list(
+    leafs: &mut crate::Leafs,
+    items: Vec<Item<(LeafId, LeafEntry)>>,
+    now: Time,
+    moves: &mut Vec<Moved>,
+) {
+    let mut list = Vec::new();
+    for item in items {
+        match item.content {
+            Content::Is(leaf) => list.push(leaf),
+            Content::Deleted | Content::Malformed => take_leaf(leafs, item, now, moves),
+        }
+    }
+    leafs.listed(list, now, moves);
+}
+
 fn take_leaf(
     leafs: &mut crate::Leafs,
     item: Item<(LeafId, LeafEntry)>,
     now: Time,
     moves: &mut Vec<Moved>,
 ) {
-    match item.value {
-        Some((id, entry)) => leafs.changed(id, entry, now, moves),
-        None => {
-            if let Ok(id) = LeafId::new(&item.name) {
-                leafs.deleted(&id, now, moves);
-            }
-        }
+    match (item.content, LeafId::new(&item.name)) {
+        (Content::Is((id, entry)), _) => leafs.changed(id, entry, now, moves),
+        (Content::Deleted, Ok(id)) => leafs.deleted(&id, now, moves),
+        (Content::Malformed, Ok(id)) => leafs.malformed(&id, moves),
+        // No leaf can have been taken under a name that is none.
+        (Content::Deleted | Content::Malformed, Err(_)) => {}
     }
 }
 
@@ -288,12 +305,14 @@
     for moved in moves {
         let (word, id) = match moved {
             Moved::Came(id, _) => ("takes work", id),
+            Moved::Reborn(id, _) => ("has started again", id),
+            Moved::Outdated(id) => ("has started again since, an old entry is passed over", id),
             Moved::Leaves(id) => ("is leaving", id),
             Moved::Closed(id) => ("takes no more work", id),
             Moved::Missing(id) => ("is missing", id),
             Moved::Gone(id) => ("is gone", id),
         };
-        if let Moved::Gone(id) = moved {
+        if let Moved::Gone(id) | Moved::Reborn(id, _) = moved {
             shared.forward.forget(id);
         }
         info!(shared.host.log, "hold: leaf {id} {word}"; "revision" => revision);
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -6,7 +6,7 @@
 
 use chestnut_book::{Kind, Target};
 use chestnut_fleet::{Addresses, Liveness, Member};
-use chestnut_port::{Batch, FeedError, Item};
+use chestnut_port::{Batch, Content, FeedError, Item};
 use chestnut_relay::{LeafState, Mirror, Reply, Upstream, UpstreamChoice};
 use chestnut_unit::{Incarnation, Time};
 use tokio::time::sleep;
@@ -221,7 +221,7 @@
 fn batch(revision: u64, items: &[(&str, Option<u32>)]) -> Batch<u32> {
     let item = |(name, value): &(&str, Option<u32>)| Item {
         name: (*name).to_owned(),
-        value: *value,
+        content: value.map_or(Content::Deleted, Content::Is),
     };
     Batch {
         items: items.iter().map(item).collect(),
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -29,6 +30,8 @@
     Full,
     /// It runs calls and its answers are lost.
     Loses,
+    /// It ends after a span, and with it the calls that it runs.
+    LosesAfter(Duration),
     /// It runs calls and answers with a failure of its own.
     Fails,
     /// It takes calls for wrong ones and says so.
@@ -39,6 +42,7 @@
 #[derive(Clone, Debug)]
 pub struct Got {
     pub leaf: LeafId,
+    pub address: SocketAddr,
     pub request: String,
     pub at: Instant,
     pub left: Duration,
@@ -120,6 +124,7 @@
                 *live += 1;
                 world.got.push(Got {
                     leaf: call.leaf.clone(),
+                    address: call.address,
                     request: call.message.id.clone(),
                     at: Instant::now(),
                     left: call.left,
@@ -148,6 +153,10 @@
                     sleep(Duration::from_millis(5)).await;
                     Err(LeafFailure::Lost)
                 }
+                Some(Manner::LosesAfter(span)) => {
+                    sleep(span).await;
+                    Err(LeafFailure::Lost)
+                }
                 Some(Manner::Fails) => {
                     sleep(Duration::from_millis(5)).await;
                     let reply = leaf_reply(&call.leaf, 500, Bytes::new());
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -122,6 +122,7 @@
         slots: 5,
         state,
         warmup: Duration::ZERO,
+        life: None,
     }
 }
 
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -123,8 +123,8 @@
 fn parse<T: DeserializeOwned>(raw: RawBatch) -> Batch<T> {
     let items = raw.items.into_iter().map(|item| Item {
         name: item.name,
-        value: item
-            .value
+        content: item
+            .content
             .map(|json| serde_json::from_slice(&json).unwrap()),
     });
     Batch {
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -8,7 +8,7 @@
 
 use chestnut_book::RouteBook;
 use chestnut_flow::lock;
-use chestnut_port::{Batch, Feed, FeedError, Freshness, Item};
+use chestnut_port::{Batch, Content, Feed, FeedError, Freshness, Item};
 use chestnut_relay::{Advert, Adverts, LeafEntry};
 use chestnut_unit::{LeafId, MemberId};
 use futures::{FutureExt, future::BoxFuture};
@@ -31,6 +31,8 @@
     book: Option<(u64, RouteBook)>,
     leafs: BTreeMap<LeafId, (u64, LeafEntry)>,
     gone: Vec<(u64, LeafId)>,
+    /// Entries that another writer made unreadable.
+    malformed: BTreeMap<LeafId, u64>,
     adverts: BTreeMap<MemberId, Advert>,
     silent: bool,
     /// Raised by each silence; a watch from before it never answers.
@@ -63,10 +65,21 @@
         let mut stored = lock(&self.stored);
         stored.revision += 1;
         let revision = stored.revision;
+        stored.malformed.remove(id);
         stored.leafs.insert(id.clone(), (revision, entry));
         self.changed.notify_waiters();
     }
 
+    /// Has another writer overwrite an entry with something that can't be read.
+    pub fn spoil_leaf(&self, id: &LeafId) {
+        let mut stored = lock(&self.stored);
+        stored.revision += 1;
+        let revision = stored.revision;
+        stored.leafs.remove(id);
+        stored.malformed.insert(id.clone(), revision);
+        self.changed.notify_waiters();
+    }
+
     pub fn drop_leaf(&self, id: &LeafId) {
         let mut stored = lock(&self.stored);
         stored.revision += 1;
@@ -185,7 +198,7 @@
             let stored = lock(&self.stored);
             let item = |(_, book): &(u64, RouteBook)| Item {
                 name: "main".to_owned(),
-                value: Some(book.clone()),
+                content: Content::Is(book.clone()),
             };
             Ok(Batch {
                 items: stored.book.iter().map(item).collect(),
@@ -215,7 +228,7 @@
                 (*revision > after).then(|| Batch {
                     items: vec![Item {
                         name: "main".to_owned(),
-                        value: Some(book.clone()),
+                        content: Content::Is(book.clone()),
                     }],
                     revision: stored.revision,
                 })
@@ -238,7 +251,14 @@
 fn leaf_item(id: &LeafId, entry: &LeafEntry) -> Item<LeafItem> {
     Item {
         name: id.to_string(),
-        value: Some((id.clone(), entry.clone())),
+        content: Content::Is((id.clone(), entry.clone())),
+    }
+}
+
+fn malformed_item(id: &LeafId) -> Item<LeafItem> {
+    Item {
+        name: id.to_string(),
+        content: Content::Malformed,
     }
 }
 
@@ -248,8 +268,10 @@
             self.check().await?;
             let stored = lock(&self.stored);
             let leafs = stored.leafs.iter();
+            let leafs = leafs.map(|(id, (_, entry))| leaf_item(id, entry));
+            let malformed = stored.malformed.keys().map(malformed_item);
             Ok(Batch {
-                items: leafs.map(|(id, (_, entry))| leaf_item(id, entry)).collect(),
+                items: leafs.chain(malformed).collect(),
                 revision: stored.revision,
             })
         }
@@ -270,10 +292,12 @@
             let find = |stored: &Stored| {
                 let new = stored.leafs.iter().filter(|(_, (at, _))| *at > after);
                 let mut items: Vec<_> = new.map(|(id, (_, e))| leaf_item(id, e)).collect();
+                let malformed = stored.malformed.iter().filter(|(_, at)| **at > after);
+                items.extend(malformed.map(|(id, _)| malformed_item(id)));
                 let gone = stored.gone.iter().filter(|(at, _)| *at > after);
                 items.extend(gone.map(|(_, id)| Item {
                     name: id.to_string(),
-                    value: None,
+                    content: Content::Deleted,
                 }));
                 (!items.is_empty()).then_some(Batch {
                     items,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -143,6 +143,16 @@
         ix
     }
 
+    /// Ends the life of a back end: the next one under its name gets a number of
+    /// its own, and knows nothing of this one's delays, faults or eviction.
+    /// Answers and failures of calls that are still under way count for this
+    /// one, which is never called again.
+    pub fn renew(&mut self, backend: &Backend) {
+        if let Some(ix) = self.index.remove(backend) {
+            self.states[ix.index()].leaving = true;
+        }
+    }
+
     /// The number of a known back end.
     #[must_use]
     pub fn find(&self, backend: &Backend) -> Option<Ix> {
