Pass nothing on of a store that does not answer

Cause: an entry that is cut off from the store turns to it again and again. Change: what is passed on needs an answer of the store since the entry turned to it. Before and after: regressions an_entry_that_is_cut_off_passes_nothing_on red, then green.

--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -70,6 +70,9 @@
     deaf: Option<Time>,
     /// When the store answered this entry last.
     served: Option<Time>,
+    /// Whether the store has answered since this entry turned to it. One that has
+    /// only just turned to it may be cut off from it.
+    hears: bool,
 }
 
 impl UpstreamChoice {
@@ -121,12 +124,21 @@
     /// Takes it that the store answered this entry.
     pub fn store_answered(&mut self, now: Time) {
         self.served = Some(now);
+        self.hears = true;
+    }
+
+    /// Whether this entry hears of the store from the store itself, and may pass
+    /// that on.
+    #[must_use]
+    pub fn hears_store(&self) -> bool {
+        self.hears
     }
 
     /// Takes it that the store did not answer this entry, which asks others until
     /// then.
     pub fn store_failed(&mut self, until: Time) {
         self.deaf = Some(until);
+        self.hears = false;
     }
 
     /// Takes it that the store answers this entry although its peers have lost
@@ -172,6 +184,19 @@
         seeds: &[SocketAddr],
         age: Duration,
         now: Time,
+    ) -> Upstream {
+        let upstream = self.find(own, others, seeds, age, now);
+        self.hears &= upstream == Upstream::Store;
+        upstream
+    }
+
+    fn find<'a>(
+        &mut self,
+        own: &'a Member,
+        others: impl Iterator<Item = &'a Member>,
+        seeds: &[SocketAddr],
+        age: Duration,
+        now: Time,
     ) -> Upstream {
         self.bad.retain(|_, until| now < *until);
         self.lost.retain(|_, until| now < *until);
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use chestnut_book::{Kind, Target};
+use chestnut_flow::lock;
 use chestnut_relay::{LeafState, Phase, Relay, Reply};
 use chestnut_unit::LeafId;
 use futures::future::join_all;
 use tokio::time::{Instant, sleep};
-use world::{Answers, Got, Manner, Stage, ask, book, entry, gather, missing, name, rule};
+use world::{
+    Answers, Got, Manner, Stage, ask, book, entry, gather, missing, name, peers_address, rule,
+};
 
 fn one(version: u64) -> chestnut_book::RouteBook {
     let target = Target::One(name("archive"));
@@ -235,3 +238,38 @@
         Reply::Declined(_)
     ));
 }
+
+/// A route is still served by its old service, seconds after it was moved.
+/// An entry that is cut off from the store lost the peer it followed, and asks
+/// the store again in vain. While it waited for the answer it told others that it
+/// hears of the store, and an entry that the store serves followed it.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_is_cut_off_passes_nothing_on() {
+    let stage = Stage {
+        domains: 2,
+        seeds: vec![1, 2],
+        ..Stage::default()
+    };
+    stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let first = stage.serving(1).await;
+    let _cut_off = stage.serving(2).await;
+    sleep(Duration::from_secs(8)).await;
+    let passes_on = || {
+        let service = lock(&stage.feeds.0).get(&peers_address(2)).cloned();
+        service.is_some_and(|service| service.pulse().is_ok())
+    };
+    assert!(passes_on());
+    stage.store.part([2].into());
+    sleep(Duration::from_secs(4)).await;
+    drop(first);
+    stage.feeds.cut(peers_address(1));
+    stage.net.cut(peers_address(1));
+    for _ in 0..400 {
+        assert!(!passes_on());
+        sleep(Duration::from_millis(25)).await;
+    }
+    stage.store.part([].into());
+    sleep(Duration::from_secs(10)).await;
+    assert!(passes_on());
+}
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -42,6 +42,8 @@
     calls: u64,
     /// Entries that are turned away.
     barred: BTreeSet<u16>,
+    /// Entries whose calls vanish.
+    parted: BTreeSet<u16>,
 }
 
 /// A store with a book, leafs and adverts.
@@ -114,6 +116,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Cuts some entries off, and no others: their calls vanish.
+    pub fn part(&self, entries: BTreeSet<u16>) {
+        lock(&self.stored).parted = entries;
+        self.changed.notify_waiters();
+    }
+
     fn is_barred(&self) -> bool {
         lock(&self.stored).barred.contains(&self.caller)
     }
@@ -128,7 +136,7 @@
         let silent = {
             let mut stored = lock(&self.stored);
             stored.calls += 1;
-            stored.silent
+            stored.silent || stored.parted.contains(&self.caller)
         };
         if silent {
             // What the adapters make of silence: a timeout.
@@ -141,7 +149,8 @@
         if self.is_barred() {
             return Err(FeedError::Busy("turned away".to_owned()));
         }
-        match lock(&self.stored).silent {
+        let stored = lock(&self.stored);
+        match stored.silent || stored.parted.contains(&self.caller) {
             true => Err(FeedError::Unavailable("silent".to_owned())),
             false => Ok(()),
         }
@@ -168,7 +177,8 @@
             let changed = self.changed.notified();
             let found = {
                 let stored = lock(&self.stored);
-                let barred = stored.barred.contains(&self.caller);
+                let barred =
+                    stored.barred.contains(&self.caller) || stored.parted.contains(&self.caller);
                 if stored.silences != silences || barred {
                     None
                 } else if let Some(found) = find(&stored) {
