--- /dev/null
+++ b/crates/relay/src/callers.rs
@@ -0,0 +1,92 @@
+//! What callers spend outside of this entry.
+
+use std::time::Duration;
+
+use chestnut_route::Quantiles;
+use chestnut_unit::Time;
+
+/// Longest way that is believed, and the one while nothing is known of callers: four
+/// round trips of 6 ms, to ask where to connect, to connect and to be served, and
+/// the delay of timers.
+const WAY_MAX: Duration = Duration::from_millis(26);
+/// Delay of a caller's timers and of this entry's own.
+const TIMERS: Duration = Duration::from_millis(3);
+/// Callers with a new connection that must have come before their way is known.
+const SAMPLES_NEEDED: u64 = 8;
+/// Quantile of what they spent before. Those that come after a failure have spent
+/// much more, and may be most for a while.
+const QUANTILE: f64 = 0.25;
+/// Part of that quantile that is the way to the caller and back: opening a
+/// connection takes one round trip, asking where to connect two more.
+const ROUND_TRIP: f64 = 0.5;
+
+/// How long the longest time that callers gave is remembered, at least.
+const REMEMBERED: Duration = Duration::from_secs(15);
+
+/// The longest time that callers of one rule gave, lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Longest {
+    before: Duration,
+    now: Duration,
+    turned: Time,
+}
+
+impl Longest {
+    /// Takes the time that a caller gives; returns what it has spent already: the
+    /// first try of a call gives all of its time, and one that has asked where to
+    /// connect, or has failed elsewhere, gives what is left.
+    fn spent(&mut self, left: Duration, now: Time) -> Duration {
+        if now.since(self.turned) >= REMEMBERED {
+            self.before = self.now;
+            self.now = Duration::ZERO;
+            self.turned = now;
+        }
+        self.now = self.now.max(left);
+        self.before.max(self.now).saturating_sub(left)
+    }
+}
+
+/// What callers spend between their request and this entry.
+///
+/// A goal counts from the caller's own start. A fixed allowance for connecting
+/// takes too much from callers that keep their connections, most of a goal of 50 ms:
+/// answers then went out without shards that were on their way.
+#[derive(Clone, Debug)]
+pub(crate) struct Callers {
+    /// What callers had spent that had spent anything.
+    spent: Quantiles,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Self {
+            spent: Quantiles::new(QUANTILE),
+        }
+    }
+}
+
+impl Callers {
+    /// Takes a caller that gives `left`; returns what is to be taken off its goal:
+    /// what it has spent, and the answer's way back.
+    pub(crate) fn away(
+        &mut self,
+        longest: &mut Longest,
+        left: Option<Duration>,
+        now: Time,
+    ) -> Duration {
+        let spent = left.map_or(Duration::ZERO, |left| longest.spent(left, now));
+        if !spent.is_zero() {
+            self.spent.record(spent);
+        }
+        spent + self.way()
+    }
+
+    /// The way to a caller and back.
+    fn way(&self) -> Duration {
+        if self.spent.count() < SAMPLES_NEEDED {
+            return WAY_MAX;
+        }
+        let way = self.spent.high().mul_f64(ROUND_TRIP) + TIMERS;
+        way.min(WAY_MAX)
+    }
+}
