Ask the store 30 to 120 ms after a start whose seeds don't answer

Cause: after a loss of power the seeds came back last, and the other entries refused every caller for 0.37 s beside a store that answers in 4 ms. Ruled out: asking at once, which all entries of a large group would do together. Change: each entry asks the seeds for a span of its own, by its name.

--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -76,8 +76,9 @@
 /// around are not asked without end.
 const TRY_REST: Duration = Duration::from_millis(20);
 /// Longest wait for a peer's pulse while this entry starts. A seed whose machine
-/// has no power yet answers nothing at all, and the next one may.
-const START_WAIT: Duration = Duration::from_millis(100);
+/// has no power yet answers nothing at all, and the next one, or the store, may.
+/// One in another region answers within 40 ms.
+const START_WAIT: Duration = Duration::from_millis(45);
 /// Time between two pulses of a peer that has lost the store. They cost the store
 /// nothing, and what changed meanwhile is due soon after it is back.
 const PULSE_LOST: Duration = Duration::from_millis(250);
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -22,12 +22,16 @@
 /// Peers that must have lost the store before it is taken to be lost to all. One
 /// alone may be cut off from it.
 const LOST_QUORUM: usize = 2;
-/// How long an entry that starts asks the seeds before it asks the store. The
-/// seeds start with it, and have read the store some tens of milliseconds
-/// later; entries that all ask the store at once are paid for one by one.
-const SEEDS_SPAN: Duration = Duration::from_millis(400);
+/// How long an entry that starts asks the seeds before it asks the store: seeds that
+/// run, or start with it, answer within it. The time differs between entries up to
+/// the longest, as those that all ask the store at once are paid for one by one.
+///
+/// After a loss of power the seeds may come back last. With 400 ms for all, the
+/// others refused every caller for that long beside a store that answers in 4 ms.
+const SEEDS_LEAST: Duration = Duration::from_millis(30);
+const SEEDS_MOST: Duration = Duration::from_millis(120);
 /// How long a seed that did not answer is not asked again, during that span.
-const SEED_REST: Duration = Duration::from_millis(50);
+const SEED_REST: Duration = Duration::from_millis(25);
 /// How long an entry that has started stays with the peer that answered it. Its
 /// view of the members takes about three seconds to become whole at 90 entries;
 /// by a part of it, many would take themselves for their domain's strongest.
@@ -78,7 +82,7 @@
 impl UpstreamChoice {
     /// Takes it that a peer did not answer.
     pub fn failed(&mut self, peer: SocketAddr, age: Duration, now: Time) {
-        let span = if age < SEEDS_SPAN {
+        let span = if age < SEEDS_MOST {
             SEED_REST
         } else {
             BAD_SPAN
@@ -89,7 +93,7 @@
     /// Takes it that a peer has nothing to pass on to an entry that starts: it
     /// may just start too.
     pub fn not_ready(&mut self, peer: SocketAddr, age: Duration, now: Time) {
-        let rest = match age < SEEDS_SPAN {
+        let rest = match age < SEEDS_MOST {
             true => SEED_REST,
             false => LOOP_REST,
         };
@@ -251,7 +255,7 @@
 
     /// Before any member is known.
     fn seed(&self, own: &Member, seeds: &[SocketAddr], age: Duration) -> Upstream {
-        if age >= SEEDS_SPAN {
+        if age >= patience(own) {
             return Upstream::Store;
         }
         match self.pick_seed(own, seeds) {
@@ -277,9 +281,18 @@
     }
 }
 
+/// How long `own` asks the seeds when it starts.
+fn patience(own: &Member) -> Duration {
+    /// Steps from the least to the most.
+    const STEPS: usize = 16;
+    let part = (spread(own) % STEPS) as f64 / STEPS as f64;
+    SEEDS_LEAST + (SEEDS_MOST - SEEDS_LEAST).mul_f64(part)
+}
+
 /// A number that differs between entries, so that they choose differently.
 fn spread(own: &Member) -> usize {
-    own.id.as_str().bytes().map(usize::from).sum()
+    let mix = |sum: usize, byte: u8| sum.wrapping_mul(31).wrapping_add(usize::from(byte));
+    own.id.as_str().bytes().fold(0, mix)
 }
 
 /// The entries by failure domain, the strongest first.
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -218,6 +218,28 @@
     assert_eq!(after, Upstream::Store);
 }
 
+/// All callers are refused for a third of a second beside a store that answers.
+/// Power was lost everywhere, and the seeds are the last to come back. The others
+/// ask the store soon, and not all in the same moment.
+#[test]
+fn entries_whose_seeds_are_gone_ask_the_store_soon() {
+    let seeds = [peers_address(1), peers_address(2)];
+    let upstream = |n, age| {
+        let own = member(n, "dub-a", 600);
+        let mut choice = UpstreamChoice::default();
+        choice.choose(&own, std::iter::empty(), &seeds, age, Time::ZERO)
+    };
+    let asking = |ms| {
+        let age = Duration::from_millis(ms);
+        (10..42)
+            .filter(|n| upstream(*n, age) == Upstream::Store)
+            .count()
+    };
+    assert_eq!(asking(29), 0);
+    assert!((8..24).contains(&asking(75)), "{}", asking(75));
+    assert_eq!(asking(120), 32);
+}
+
 fn batch(revision: u64, items: &[(&str, Option<u32>)]) -> Batch<u32> {
     let item = |(name, value): &(&str, Option<u32>)| Item {
         name: (*name).to_owned(),
