--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -10,7 +10,7 @@
 /// the delay of timers.
 const WAY_MAX: Duration = Duration::from_millis(26);
 /// Delay of a caller's timers and of this entry's own.
-const TIMERS: Duration = Duration::from_millis(3);
+const TIMERS: Duration = Duration::from_millis(6);
 /// Callers with a new connection that must have come before their way is known.
 const SAMPLES_NEEDED: u64 = 8;
 /// Quantile of what they spent before. Those that come after a failure have spent
@@ -18,7 +18,7 @@
 const QUANTILE: f64 = 0.25;
 /// Part of that quantile that is the way to the caller and back: opening a
 /// connection takes one round trip, asking where to connect two more.
-const ROUND_TRIP: f64 = 0.5;
+const ROUND_TRIP: f64 = 1.0;
 
 /// How long the longest time that callers gave is remembered, at least.
 const REMEMBERED: Duration = Duration::from_secs(15);
