--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -9,16 +9,17 @@
 /// round trips of 6 ms, to ask where to connect, to connect and to be served, and
 /// the delay of timers.
 const WAY_MAX: Duration = Duration::from_millis(26);
-/// Delay of a caller's timers and of this entry's own.
-const TIMERS: Duration = Duration::from_millis(6);
+/// Delay of timers, here and at the caller. At 6 ms answers lack shards that would
+/// have come in time, and the mean credit is the same within 0.002.
+const TIMERS: Duration = Duration::from_millis(3);
 /// Callers with a new connection that must have come before their way is known.
 const SAMPLES_NEEDED: u64 = 8;
-/// Quantile of what they spent before. Those that come after a failure have spent
-/// much more, and may be most for a while.
+/// Quantile of what they spent before that is taken for the way to a caller and back.
+/// Those that come after a failure have spent much more, and may be most for a
+/// while; those that connect have spent from one round trip to three. At half of it
+/// a third of the calls with a goal of 80 ms came late on a day of load (822 of 2,508,
+/// callers 3 ms away; 194 with a fixed 26 ms).
 const QUANTILE: f64 = 0.25;
-/// Part of that quantile that is the way to the caller and back: opening a
-/// connection takes one round trip, asking where to connect two more.
-const ROUND_TRIP: f64 = 1.0;
 
 /// How long the longest time that callers gave is remembered, at least.
 const REMEMBERED: Duration = Duration::from_secs(15);
@@ -86,7 +87,6 @@
         if self.spent.count() < SAMPLES_NEEDED {
             return WAY_MAX;
         }
-        let way = self.spent.high().mul_f64(ROUND_TRIP) + TIMERS;
-        way.min(WAY_MAX)
+        (self.spent.high() + TIMERS).min(WAY_MAX)
     }
 }
