Let entries that start without the store serve by what a peer has heard

Cause: an entry that starts while the store is silent was refused the book and the leafs by every peer that does not hear from the store itself, and refused all callers for up to 2.7 s, though those peers serve. Change: all that was heard is told to whoever asks for all of it; changes come only from entries that hear. An entry that starts takes it at once, from the peer that it asks or, while the store does not answer, from the seeds. The feeds have a module of their own, so that the one that chooses and the one that follows no longer need each other.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod settings;
 mod shared;
 mod source;
+mod sources;
 mod upstream;
 mod watch;
 
@@ -38,5 +39,5 @@
 pub use relay::{FeedBinder, Relay, RelayPorts};
 pub use settings::{ExtraCalls, RelayEntry, RelayListen, RelaySettings, StoreSettings, Times};
 pub use shared::Phase;
-pub use source::FeedPeers;
+pub use sources::FeedPeers;
 pub use upstream::{Upstream, UpstreamChoice};
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -17,7 +17,7 @@
 use crate::{
     LeafEntry, Mirror, Upstream,
     shared::Shared,
-    source::{BOOK, LEAFS},
+    sources::{BOOK, LEAFS},
 };
 
 /// What is passed on.
@@ -42,15 +42,13 @@
 pub(crate) struct Passing(pub(crate) Arc<Shared>);
 
 impl Passing {
-    /// What a feed tells, or why this entry can't tell now. Only one that hears
-    /// of the store itself does.
+    /// What a feed tells.
     fn tell(
         &self,
         feed: &str,
         book: impl Fn(&Mirror<RouteBook>) -> Result<Batch<RouteBook>, FeedError>,
         leafs: impl Fn(&Mirror<(LeafId, LeafEntry)>) -> Result<Batch<(LeafId, LeafEntry)>, FeedError>,
     ) -> Result<RawBatch, FeedError> {
-        self.pulse()?;
         match feed {
             BOOK => raw(book(&lock(&self.0.passed.book))?),
             LEAFS => raw(leafs(&lock(&self.0.passed.leafs))?),
@@ -64,6 +62,8 @@
         loop {
             told.borrow_and_update();
             pulses.borrow_and_update();
+            // Changes come from an entry that hears of the store itself only.
+            self.pulse()?;
             let batch = self.tell(feed, |m| m.since(revision), |m| m.since(revision))?;
             if !batch.items.is_empty() {
                 return Ok(batch);
@@ -97,6 +97,9 @@
         }
     }
 
+    /// All that was heard, also if the store is lost since: an entry that starts
+    /// meanwhile can serve by it as this one does, instead of refusing every caller
+    /// until the store is back. What changed comes from elsewhere.
     fn all(&self, feed: &str) -> Result<RawBatch, FeedError> {
         self.tell(feed, Mirror::all, Mirror::all)
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,7 +22,8 @@
     pass::Passing,
     settings::RelaySettings,
     shared::{Phase, Shared},
-    source::{self, FeedPeers, Sources},
+    source,
+    sources::{FeedPeers, Sources},
     watch as feeds,
 };
 
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -2,67 +2,21 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use chestnut_book::RouteBook;
 use chestnut_flow::lock;
-use chestnut_port::{Feed, FeedError, FeedNet};
-use chestnut_unit::{LeafId, Time};
+use chestnut_port::FeedError;
+use chestnut_unit::Time;
 use rand::Rng;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use crate::{
-    LeafEntry, Upstream,
+    Upstream,
     members::Members,
     shared::{Phase, Shared},
+    sources::Sources,
+    watch::adopt,
 };
 
-/// The feed of books, among entries.
-pub(crate) const BOOK: &str = "book";
-/// The feed of leafs, among entries.
-pub(crate) const LEAFS: &str = "leafs";
-
-/// The port to the feeds of other entries.
-pub trait FeedPeers: Send + Sync {
-    /// The book, as the entry at `to` hears it.
-    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<RouteBook>>;
-
-    /// The leafs, as the entry at `to` hears them.
-    fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<(LeafId, LeafEntry)>>;
-}
-
-impl FeedPeers for FeedNet {
-    fn book(&self, to: SocketAddr) -> Arc<dyn Feed<RouteBook>> {
-        Arc::new(self.feed(to, BOOK))
-    }
-
-    fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<(LeafId, LeafEntry)>> {
-        Arc::new(self.feed(to, LEAFS))
-    }
-}
-
-/// The feeds of the store and of other entries.
-pub(crate) struct Sources {
-    pub(crate) book: Arc<dyn Feed<RouteBook>>,
-    pub(crate) leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
-    pub(crate) peers: Arc<dyn FeedPeers>,
-}
-
-impl Sources {
-    pub(crate) fn book(&self, from: Upstream) -> Arc<dyn Feed<RouteBook>> {
-        match from {
-            Upstream::Store => self.book.clone(),
-            Upstream::Peer(peer) => self.peers.book(peer),
-        }
-    }
-
-    pub(crate) fn leafs(&self, from: Upstream) -> Arc<dyn Feed<(LeafId, LeafEntry)>> {
-        match from {
-            Upstream::Store => self.leafs.clone(),
-            Upstream::Peer(peer) => self.peers.leafs(peer),
-        }
-    }
-}
-
 /// Time between two pulses. A store or peer that is lost is noticed within it,
 /// well within the seconds in which changes are due.
 const PULSE: Duration = Duration::from_secs(1);
@@ -140,12 +94,35 @@
 
 async fn pulse(shared: &Shared, sources: &Sources, upstream: Upstream) -> Result<u64, FeedError> {
     let feed = sources.book(upstream);
-    let starting = shared.phase() == Phase::Starting;
-    if upstream == Upstream::Store || !starting {
+    if shared.phase() != Phase::Starting {
         return feed.pulse().await;
     }
-    let answer = timeout(START_WAIT, feed.pulse()).await;
-    answer.unwrap_or_else(|_| Err(FeedError::Unavailable("no answer yet".to_owned())))
+    let mut pulse = feed.pulse();
+    let answer = timeout(START_WAIT, &mut pulse).await;
+    match (answer, upstream) {
+        (Ok(Err(FeedError::Lost)), Upstream::Peer(_)) => {
+            adopt(shared, sources, upstream, START_WAIT).await;
+            Err(FeedError::Lost)
+        }
+        (Ok(answer), _) => answer,
+        (Err(_), Upstream::Peer(_)) => Err(FeedError::Unavailable("no answer yet".to_owned())),
+        (Err(_), Upstream::Store) => {
+            adopt_from_seeds(shared, sources).await;
+            pulse.await
+        }
+    }
+}
+
+/// Takes what a seed has heard that serves, while the store does not answer.
+async fn adopt_from_seeds(shared: &Shared, sources: &Sources) {
+    let own = shared.settings.listen.peers;
+    let seeds = shared.settings.seeds.iter().filter(|seed| **seed != own);
+    for seed in seeds {
+        if shared.phase() != Phase::Starting {
+            return;
+        }
+        adopt(shared, sources, Upstream::Peer(*seed), START_WAIT).await;
+    }
 }
 
 fn hear_store(shared: &Shared, members: &Members, answer: Result<u64, FeedError>) -> Heard {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -15,7 +15,7 @@
     leafs::{LeafEntry, Moved},
     pulse::Pulse,
     shared::{Phase, Shared, take_moves},
-    source::{self, Sources},
+    sources::{BOOK, LEAFS, Sources},
 };
 
 /// How long one watch waits for a change. Each call is paid for, so as long as
@@ -40,20 +40,39 @@
 
 /// Follows the book for as long as the entry runs.
 pub(crate) async fn book(shared: Arc<Shared>, sources: Arc<Sources>) {
-    let take = |batch: Batch<RouteBook>, whole| {
-        lock(&shared.passed.book).take(&batch, whole);
-        take_book(&shared, batch);
-    };
-    follow(&shared, |from| sources.book(from), source::BOOK, take).await;
+    let take = |batch, whole| pass_book(&shared, batch, whole);
+    follow(&shared, |from| sources.book(from), BOOK, take).await;
+}
+
+/// Takes all that the entry at `from` has heard, if it answers within `wait`. An
+/// entry that starts while the store is lost serves by it.
+pub(crate) async fn adopt(shared: &Shared, sources: &Sources, from: Upstream, wait: Duration) {
+    let (books, leafs) = (sources.book(from), sources.leafs(from));
+    let (books, leafs) = tokio::join!(
+        timeout(wait, books.list(Freshness::Stale)),
+        timeout(wait, leafs.list(Freshness::Stale)),
+    );
+    if let (Ok(Ok(books)), Ok(Ok(leafs))) = (books, leafs) {
+        info!(shared.host.log, "watch: takes what {from:?} has heard"; "revision" => books.revision);
+        pass_book(shared, books, true);
+        pass_leafs(shared, leafs, true);
+    }
+}
+
+fn pass_book(shared: &Shared, batch: Batch<RouteBook>, whole: bool) {
+    lock(&shared.passed.book).take(&batch, whole);
+    take_book(shared, batch);
+}
+
+fn pass_leafs(shared: &Shared, batch: Batch<(LeafId, LeafEntry)>, whole: bool) {
+    lock(&shared.passed.leafs).take(&batch, whole);
+    take_leafs(shared, batch, whole);
 }
 
 /// Follows the leafs for as long as the entry runs.
 pub(crate) async fn leafs(shared: Arc<Shared>, sources: Arc<Sources>) {
-    let take = |batch: Batch<(LeafId, LeafEntry)>, whole| {
-        lock(&shared.passed.leafs).take(&batch, whole);
-        take_leafs(&shared, batch, whole);
-    };
-    let follow = follow(&shared, |from| sources.leafs(from), source::LEAFS, take);
+    let take = |batch, whole| pass_leafs(&shared, batch, whole);
+    let follow = follow(&shared, |from| sources.leafs(from), LEAFS, take);
     tokio::join!(follow, lapses(&shared));
 }
 
--- a/crates/relay/tests/regressions.rs
+++ b/crates/relay/tests/regressions.rs
@@ -9,6 +9,7 @@
 use chestnut_relay::{LeafState, Phase, Relay, Reply};
 use chestnut_unit::LeafId;
 use futures::future::join_all;
+use rstest::rstest;
 use tokio::time::{Instant, sleep};
 use world::{
     Answers, Got, Manner, Stage, ask, book, entry, gather, missing, name, peers_address, rule,
@@ -273,3 +274,37 @@
     sleep(Duration::from_secs(10)).await;
     assert!(passes_on());
 }
+
+/// Callers of an entry that was started again are refused for as long as the store
+/// is away, while the entries beside it serve.
+/// It knows no book and no leafs. Those beside it do, and pass on what they heard
+/// last, to one that asks them and to one that asks the store first.
+#[rstest]
+#[case::no_seed(vec![1])]
+#[case::a_seed(vec![1, 2])]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_starts_without_the_store_serves_by_what_others_know(
+    #[case] seeds: Vec<u16>,
+) {
+    let stage = Stage {
+        domains: 2,
+        seeds,
+        ..Stage::default()
+    };
+    stage.add_leafs("archive", 2, 10);
+    stage.store.put_book(one(1));
+    let _first = stage.serving(1).await;
+    sleep(Duration::from_secs(8)).await;
+    stage.store.answers(Answers::Never);
+    sleep(Duration::from_secs(3)).await;
+    let second = stage.spawn(2).await;
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(second.phase(), Phase::Serving);
+    let reply = second.forward(ask("r", "/a/x")).await;
+    assert!(matches!(reply, Reply::Whole(_)), "{reply:?}");
+    // And it hears of what changes once the store is back.
+    stage.store.put_book(one(2));
+    stage.store.answers(Answers::Yes);
+    sleep(Duration::from_secs(5)).await;
+    assert!(second.metrics().contains("chestnut_relay_book_version 2\n"));
+}
