--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -12,7 +12,7 @@
 use chestnut_route::{Eviction, Failure};
 use futures::FutureExt;
 
-use crate::shared::{Ground, Shared};
+use crate::{ground::Ground, shared::Shared};
 
 /// A forwarded request and what its calls brought beside answers.
 pub(crate) struct Forwarded<'a> {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -17,7 +17,9 @@
 
 use crate::{
     calls::Forwarded,
-    shared::{Ground, Phase, Plan, Shared, plan},
+    ground::Ground,
+    plan::{Plan, plan},
+    shared::{Phase, Shared},
 };
 
 /// A request of a caller.
--- /dev/null
+++ b/crates/relay/src/ground.rs
@@ -0,0 +1,126 @@
+//! What the relay keeps beside the table: the book, the leafs, where they are called,
+//! and its part of what all entries share.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+use chestnut_book::{RouteBook, Turns};
+use chestnut_flow::GateId;
+use chestnut_route::{Adapt, Admission, AdmitConfig, Bounds, Class, Ix, Purse, PurseId, Routes};
+use chestnut_unit::{LeafId, ServiceName};
+
+use crate::{
+    allot::Allotment,
+    callers::{Callers, Longest},
+    leafs::Leafs,
+    settings::{ExtraCalls, RelaySettings, Times},
+};
+
+/// Where a leaf is called.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) leaf: LeafId,
+    pub(crate) address: SocketAddr,
+    pub(crate) service: ServiceName,
+    pub(crate) slots: u32,
+}
+
+/// Connections that a leaf takes from all entries where the book says nothing of its service.
+const CONNECTIONS: usize = 8;
+
+/// What is kept for one rule, by its name: it outlives versions of the book.
+#[derive(Debug)]
+pub(crate) struct RuleState {
+    pub(crate) class: Class,
+    pub(crate) turns: Turns,
+    /// The longest time that its callers gave.
+    pub(crate) longest: Longest,
+}
+
+/// What the relay keeps beside the table.
+#[derive(Debug)]
+pub(crate) struct Ground {
+    pub(crate) book: Option<Arc<RouteBook>>,
+    pub(crate) leafs: Leafs,
+    pub(crate) places: BTreeMap<Ix, Place>,
+    pub(crate) callers: Callers,
+    pub(crate) rules: BTreeMap<String, RuleState>,
+    /// Classes of rules that are gone.
+    pub(crate) spare: Vec<Class>,
+    pub(crate) purses: BTreeMap<ServiceName, PurseId>,
+    pub(crate) gates: BTreeMap<Vec<ServiceName>, GateId>,
+    pub(crate) routes: BTreeMap<Vec<ServiceName>, Arc<Routes>>,
+    pub(crate) allotment: Allotment,
+    /// What a reload of the settings changes.
+    pub(crate) extra: ExtraCalls,
+    pub(crate) times: Times,
+}
+
+impl Ground {
+    /// Nothing is known yet.
+    pub(crate) fn new(settings: &RelaySettings) -> Self {
+        let times = settings.times;
+        Self {
+            book: None,
+            leafs: Leafs::new(times.lapse(), times.linger()),
+            places: BTreeMap::new(),
+            callers: Callers::default(),
+            rules: BTreeMap::new(),
+            spare: Vec::new(),
+            purses: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            allotment: Allotment::unknown(),
+            extra: settings.extra,
+            times,
+        }
+    }
+
+    /// Connections that may be open from here to a leaf of `service`.
+    pub(crate) fn connections(&self, service: &ServiceName) -> usize {
+        let rule = self.book.as_ref().and_then(|book| book.service(service));
+        let most = rule.map_or(CONNECTIONS, |rule| rule.connections);
+        self.allotment.connections(most)
+    }
+
+    pub(crate) fn bounds(&self, place: &Place) -> Bounds {
+        let connections = self.connections(&place.service);
+        Bounds::share(place.slots, self.allotment.carriers, connections)
+    }
+}
+
+/// The tables that tasks share, under one lock.
+pub(crate) type State = chestnut_flow::State<Ground>;
+
+/// Requests of one target that run at once at an entry. It bounds memory; the
+/// leafs' own queues decide before it does.
+const RUNNING_MAX: u32 = 256;
+/// Requests that wait for one of those.
+const WAITING_MAX: usize = 64;
+
+/// Sets how many calls may be under way at each leaf.
+pub(crate) fn set_bounds(state: &mut State) {
+    for (ix, place) in &state.extra.places {
+        state.table.set_bounds(*ix, state.extra.bounds(place));
+    }
+}
+
+/// Sets all budgets by the bound on extra calls and this entry's part of it.
+pub(crate) fn set_budgets(state: &mut State) {
+    let extra = state.extra.extra;
+    let slack = state.extra.allotment.slack(&extra);
+    for id in state.extra.purses.values() {
+        if let Purse::Joint(budget) = state.table.purse(*id) {
+            budget.set_share(extra.share());
+            budget.set_slack(slack, extra.window);
+        }
+    }
+}
+
+/// The bound on requests of one target that run at once.
+pub(crate) fn gate() -> Admission {
+    Admission::new(AdmitConfig {
+        initial: RUNNING_MAX,
+        queue: WAITING_MAX,
+        adapt: Adapt::No,
+    })
+}
--- /dev/null
+++ b/crates/relay/src/moves.rs
@@ -0,0 +1,87 @@
+//! Takes changes of the leafs into the table.
+
+use chestnut_route::Backend;
+use chestnut_unit::{LeafId, Time};
+
+use crate::{
+    ground::{Place, State},
+    leafs::{LeafEntry, Moved},
+    settings::RelaySettings,
+};
+
+/// Takes changes of the leafs into the table.
+pub(crate) fn take_moves(state: &mut State, moves: &[Moved], own: &RelaySettings, now: Time) {
+    for moved in moves {
+        match moved {
+            Moved::Came(id, entry) => {
+                // A leaf that was there before this entry is not a cold one.
+                let since = match entry.warmup.is_zero() {
+                    true => Time::ZERO,
+                    false => now,
+                };
+                came(state, id, entry, own, since, now);
+            }
+            Moved::Reborn(id, entry) => reborn(state, id, entry, own, now),
+            Moved::Outdated(_) => {}
+            Moved::Leaves(id) | Moved::Missing(id) => set_doubt(state, id, true),
+            Moved::Closed(id) => set_leaving(state, id, now),
+            Moved::Gone(id) => gone(state, id, now),
+        }
+    }
+    if !moves.is_empty() {
+        state.extra.routes.clear();
+    }
+}
+
+/// Takes a leaf that started at `since`.
+fn came(
+    state: &mut State,
+    id: &LeafId,
+    entry: &LeafEntry,
+    own: &RelaySettings,
+    since: Time,
+    now: Time,
+) {
+    let ix = state
+        .table
+        .add(Backend::Leaf(id.clone()), entry.slots, since);
+    // It may have been taken for gone while its entry was missing.
+    state.table.set_leaving(ix, false, now);
+    state.table.set_far(ix, entry.domain != own.entry.domain);
+    let place = Place {
+        leaf: id.clone(),
+        address: entry.address,
+        service: entry.service.clone(),
+        slots: entry.slots,
+    };
+    state.table.set_bounds(ix, state.extra.bounds(&place));
+    state.extra.places.insert(ix, place);
+    set_doubt(state, id, false);
+}
+
+fn gone(state: &mut State, id: &LeafId, now: Time) {
+    set_leaving(state, id, now);
+    if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
+        state.extra.places.remove(&ix);
+    }
+}
+
+/// Takes a new life of a leaf: calls to the old one end as they end, and say
+/// nothing of the new one.
+fn reborn(state: &mut State, id: &LeafId, entry: &LeafEntry, own: &RelaySettings, now: Time) {
+    gone(state, id, now);
+    state.table.renew(&Backend::Leaf(id.clone()));
+    came(state, id, entry, own, now, now);
+}
+
+fn set_leaving(state: &mut State, id: &LeafId, now: Time) {
+    if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
+        state.table.set_leaving(ix, true, now);
+    }
+}
+
+fn set_doubt(state: &mut State, id: &LeafId, doubted: bool) {
+    if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
+        state.table.set_doubt(ix, doubted);
+    }
+}
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -13,8 +13,9 @@
     Upstream,
     follow::{Follower, Next},
     leafs::{LeafEntry, Moved},
+    moves::take_moves,
     pulse::Pulse,
-    shared::{Phase, Shared, take_moves},
+    shared::{Phase, Shared},
     sources::{BOOK, LEAFS, Sources},
 };
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -37,6 +37,7 @@
 mod failure;
 mod faults;
 mod gauge;
+mod handicap;
 mod hedge;
 mod limit;
 mod orglimit;
