--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,7 +9,7 @@
 use chestnut_book::{Kind, Rule, Target, greatest};
 use chestnut_flow::{InFlight, Running, admit, lock, run};
 use chestnut_port::{LeafReply, Message};
-use chestnut_route::{End, Give, Ix, Order, Query, QueryConfig, Repeat, Yields};
+use chestnut_route::{End, Give, Ix, Order, Prospect, Query, QueryConfig, Repeat, Yields};
 use chestnut_unit::{Coverage, Reason, Run, Share, Time, Urgency};
 use hyper::header::HeaderValue;
 use rand::Rng;
@@ -94,6 +94,11 @@
     rule: Option<Arc<Rule>>,
     version: u64,
     calls: usize,
+    /// Times that no budget paid for an extra call.
+    withheld: u32,
+    /// Time that the answer had to come by the goal, the caller's way taken off; none
+    /// if the caller was late already.
+    ahead: Option<Duration>,
     coverage: Option<Coverage>,
     /// Leafs that were called for shards which are missing.
     in_vain: String,
@@ -109,6 +114,8 @@
         rule: None,
         version: 0,
         calls: 0,
+        withheld: 0,
+        ahead: None,
         coverage: None,
         in_vain: String::new(),
         full: String::new(),
@@ -145,6 +152,7 @@
         ahead,
         prospect,
     } = plan(&mut lock(&shared.cell.state), &rule, ask.left, draw, start);
+    account.ahead = (prospect == Prospect::InTime).then_some(ahead);
     let span = ask.left.unwrap_or(rule.timeout).min(rule.timeout);
     let deadline = start + span;
     let order = Order {
@@ -171,6 +179,7 @@
     let forwarded = forwarded(shared, &rule, ask);
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
     account.calls = query.calls();
+    account.withheld = query.withheld();
     account.coverage = Some(query.coverage());
     account.in_vain = names(shared, &query.in_vain());
     account.full = query
@@ -315,7 +324,8 @@
     info!(shared.host.log, "forward: {outcome}";
         "request" => &ask.message.id, "rule" => rule, "book" => account.version,
         "left_ms" => ask.left.map(|left| left.as_millis() as u64),
-        "calls" => account.calls, "missing" => missing, "in_vain" => &account.in_vain, "full" => &account.full, "run" => run,
+        "ahead_ms" => account.ahead.map(|ahead| ahead.as_millis() as u64),
+        "calls" => account.calls, "withheld" => account.withheld, "missing" => missing, "in_vain" => &account.in_vain, "full" => &account.full, "run" => run,
         "ms" => span.as_secs_f64() * 1e3);
 }
 
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -82,6 +82,8 @@
     first: usize,
     end: Option<End>,
     sheds: u32,
+    /// Times that an extra call was not paid for.
+    withheld: u32,
     /// Whether the goal has passed and the query was not ended by it.
     goal_seen: bool,
     /// Whether some shard may have no call under way and none to come.
@@ -113,6 +115,7 @@
             first: 0,
             end: None,
             sheds: 0,
+            withheld: 0,
             goal_seen: false,
             stuck: true,
         };
@@ -241,6 +244,12 @@
         self.sheds
     }
 
+    /// Times that no budget paid for an extra call of this query.
+    #[must_use]
+    pub fn withheld(&self) -> u32 {
+        self.withheld
+    }
+
     /// Proof that no target ran any part of the query, if there is one.
     #[must_use]
     pub fn not_run(&self) -> Option<NotRun> {
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -112,7 +112,7 @@
     }
 
     /// Takes a call of `kind` from the budget of its shards.
-    fn pay(&self, kind: CallKind, shards: &[usize], cx: &mut Context<'_>) -> bool {
+    fn pay(&mut self, kind: CallKind, shards: &[usize], cx: &mut Context<'_>) -> bool {
         let Some(first) = shards.first() else {
             return false;
         };
@@ -132,6 +132,7 @@
             CallKind::Retry | CallKind::Reshed if paid => cx.table.gauge.retries += 1,
             _ => {}
         }
+        self.withheld += u32::from(!paid);
         paid
     }
 
