Never take an older list from a peer than what was heard

Cause: an entry that starts may hear from the store while it reads the list of a peer that it asked before; the older list, taken as a whole one, would mark leafs as missing of which the watch has nothing more to tell. Found by reading, not by a run. Change: what a peer has heard is taken only where it is newer than what was heard here. Test: an_older_list_is_no_news.

--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -67,6 +67,12 @@
         self.heard = self.heard.max(Some(batch.revision));
     }
 
+    /// Whether `batch` tells of a later point than what has been heard.
+    #[must_use]
+    pub fn is_behind(&self, batch: &Batch<T>) -> bool {
+        self.heard.is_none_or(|heard| heard < batch.revision)
+    }
+
     /// The whole list.
     ///
     /// # Errors
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -53,9 +53,16 @@
         timeout(wait, books.list(Freshness::Stale)),
         timeout(wait, leafs.list(Freshness::Stale)),
     );
-    if let (Ok(Ok(books)), Ok(Ok(leafs))) = (books, leafs) {
-        info!(shared.host.log, "watch: takes what {from:?} has heard"; "revision" => books.revision);
+    let (Ok(Ok(books)), Ok(Ok(leafs))) = (books, leafs) else {
+        return;
+    };
+    info!(shared.host.log, "watch: takes what {from:?} has heard"; "revision" => leafs.revision);
+    // The store may have answered meanwhile. An older list beside its watch would
+    // leave leafs missing for good of which the watch has nothing more to tell.
+    if lock(&shared.passed.book).is_behind(&books) {
         pass_book(shared, books, true);
+    }
+    if lock(&shared.passed.leafs).is_behind(&leafs) {
         pass_leafs(shared, leafs, true);
     }
 }
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -279,6 +279,20 @@
     assert_eq!(since(9), Err(FeedError::HistoryGone));
 }
 
+/// An entry that starts misses leafs for good.
+/// It read the store, and then took the older list of a peer that it had asked
+/// before.
+#[test]
+fn an_older_list_is_no_news() {
+    let mut mirror = Mirror::default();
+    let list = |revision| batch(revision, &[("a", Some(1))]);
+    assert!(mirror.is_behind(&list(0)));
+    mirror.listed(&list(10));
+    assert!(!mirror.is_behind(&list(9)));
+    assert!(!mirror.is_behind(&list(10)));
+    assert!(mirror.is_behind(&list(11)));
+}
+
 fn one(version: u64, prefix: &str) -> chestnut_book::RouteBook {
     let target = Target::One(name("archive"));
     book(version, vec![rule(prefix, Kind::Idempotent, target)])
