--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -8,6 +8,7 @@
 
 #![warn(clippy::unwrap_used)]
 
+pub mod bound;
 pub mod demo;
 pub mod experiment;
 mod gate;
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -6,6 +6,7 @@
 
 use chestnut_fake::{
     PlatformServer, TargetServer, World,
+    bound::Deployment,
     demo::{Demo, objects_in},
     experiment::{Shape, conditions, plot_rooms, policies, run_rooms, run_table},
     load::{self, LoadConfig},
@@ -81,6 +82,15 @@
         #[arg(long)]
         plot: Option<PathBuf>,
     },
+    /// Tell the most that any policy could serve in spans of a deployment's days,
+    /// by flow.
+    ///
+    /// The file gives kinds of requests, and for each span the load, the time
+    /// without any entry and the state of the leafs; docs/policy/bounds has one.
+    Bound {
+        /// The file, in TOML.
+        file: PathBuf,
+    },
     /// Measure membership in virtual time: traffic of a member, time until all
     /// know of a death, deaths that were none.
     Membership {
@@ -181,6 +191,7 @@
         Command::Settings { folder, out } => settings(&folder, &out),
         Command::Experiment(args) => experiment(&args),
         Command::Rooms { seeds, plot } => rooms(seeds, plot.as_deref()),
+        Command::Bound { file } => bounds(&file),
         Command::Membership { members, seed } => {
             membership::run_table(&members, seed);
             Ok(())
@@ -274,6 +285,15 @@
     Ok(())
 }
 
+/// Prints the bound of each span of a file.
+fn bounds(file: &std::path::Path) -> Result<(), Failure> {
+    let rows = Deployment::open(file)?.bounds();
+    println!("| span | bound |");
+    println!("|---|---|");
+    rows.iter().for_each(|row| println!("{row}"));
+    Ok(())
+}
+
 fn rooms(seeds: u64, plot: Option<&std::path::Path>) -> Result<(), Failure> {
     let rows = run_rooms(&Shape::search(), seeds);
     println!(
