--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -16,6 +16,7 @@
 /// class costs some 30 KB, and an entry has 256 MB for everything. Those of rules
 /// that are gone are used again, or a day of 5,200 edits would use them up.
 const CLASSES_MAX: usize = 64;
+
 /// What a request needs of the tables to run.
 pub(crate) struct Plan {
     pub(crate) routes: Arc<Routes>,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -43,6 +43,7 @@
 /// on the users' leafs): shorter sends calls into the rest of a pause, longer
 /// idles a leaf that has long recovered.
 const PAUSE: Duration = Duration::from_millis(250);
+
 /// What the tasks of one entry share.
 pub(crate) struct Shared {
     pub(crate) settings: RelaySettings,
