Pass on what the store tells as long as it answers, whatever the upstream is for a moment

Change: what is passed on needs an answer of the store within three pulses and no failure since, not an upstream that never changed. Test: an_entry_that_looks_at_its_peers_still_hears_the_store.

--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -90,7 +90,7 @@
         // it answers, what was heard from others is not passed on as the store's:
         // entries that the store serves followed such a one, and a change of the
         // book was not in force there for 3.8 s.
-        let hears = lock(&self.0.upstreams).hears_store() && !pulse.is_lost();
+        let hears = lock(&self.0.upstreams).hears_store(self.0.now()) && !pulse.is_lost();
         match hears && pulse.revision() > 0 {
             true => Ok(pulse.revision()),
             false => Err(FeedError::Lost),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -17,6 +17,9 @@
 /// How long an answer of the store to this entry outweighs what peers say of it:
 /// two pulses.
 const SERVED_SPAN: Duration = Duration::from_secs(2);
+/// How long after an answer of the store an entry passes on what it hears: three
+/// pulses. One that is cut off finds out within a pulse and its wait, 1.8 s.
+const HEARS_SPAN: Duration = Duration::from_secs(3);
 /// How long a peer is not asked again that sent this entry to one that is no use.
 const LOOP_REST: Duration = Duration::from_millis(300);
 /// Peers that must have lost the store before it is taken to be lost to all. One
@@ -79,11 +82,8 @@
     sent: Option<(SocketAddr, Time)>,
     /// Until when the store is not asked, as it did not answer this entry.
     deaf: Option<Time>,
-    /// When the store answered this entry last.
+    /// When the store answered this entry last; none if it has failed to since.
     served: Option<Time>,
-    /// Whether the store has answered since this entry turned to it. One that has
-    /// only just turned to it may be cut off from it.
-    hears: bool,
 }
 
 impl UpstreamChoice {
@@ -135,21 +135,22 @@
     /// Takes it that the store answered this entry.
     pub fn store_answered(&mut self, now: Time) {
         self.served = Some(now);
-        self.hears = true;
     }
 
-    /// Whether this entry hears of the store from the store itself, and may pass
-    /// that on.
+    /// Whether the store has answered this entry lately, which may pass that on. It
+    /// goes by the answer and not by the upstream: an entry that looks for a moment
+    /// whether its peers have the store again would tell those that ask in that
+    /// moment that it has lost it, and be believed for three seconds.
     #[must_use]
-    pub fn hears_store(&self) -> bool {
-        self.hears
+    pub fn hears_store(&self, now: Time) -> bool {
+        self.served.is_some_and(|at| now.since(at) < HEARS_SPAN)
     }
 
     /// Takes it that the store did not answer this entry, which asks others until
     /// then.
     pub fn store_failed(&mut self, until: Time) {
         self.deaf = Some(until);
-        self.hears = false;
+        self.served = None;
     }
 
     /// Takes it that the store answers this entry although its peers have lost
@@ -195,19 +196,6 @@
         seeds: &[SocketAddr],
         age: Duration,
         now: Time,
-    ) -> Upstream {
-        let upstream = self.find(own, others, seeds, age, now);
-        self.hears &= upstream == Upstream::Store;
-        upstream
-    }
-
-    fn find<'a>(
-        &mut self,
-        own: &'a Member,
-        others: impl Iterator<Item = &'a Member>,
-        seeds: &[SocketAddr],
-        age: Duration,
-        now: Time,
     ) -> Upstream {
         self.bad.retain(|_, until| now < *until);
         self.lost.retain(|_, until| now < *until);
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -279,6 +279,26 @@
     assert_eq!(since(9), Err(FeedError::HistoryGone));
 }
 
+/// A route that was moved is not known for six seconds at an entry that the store
+/// serves.
+/// Its watchers are cut off, and the one of another domain, which hears the store,
+/// looked just then whether its peers have it again: for 30 ms it told that it had
+/// lost the store, and was believed for three seconds.
+#[test]
+fn an_entry_that_looks_at_its_peers_still_hears_the_store() {
+    let mut choice = UpstreamChoice::default();
+    let members = two_domains();
+    let at = Time::from_millis;
+    assert!(!choice.hears_store(at(0)));
+    choice.store_answered(at(1_000));
+    choice.choose(&members[1], members[2..].iter(), &[], OLD, at(1_020));
+    assert!(choice.hears_store(at(1_030)));
+    choice.store_failed(at(6_000));
+    assert!(!choice.hears_store(at(1_040)));
+    choice.store_answered(at(7_000));
+    assert!(!choice.hears_store(at(10_000)));
+}
+
 /// An entry that starts misses leafs for good.
 /// It read the store, and then took the older list of a peer that it had asked
 /// before.
