Sight: what versions others hold, what became of readings, how heavy the book is

The logs could not tell whether a reading was too large for its wait, or the version held back. Probes now carry the sender's book version; an entry logs that a peer has a newer one (`watch: a peer has a newer book`), for how long it was behind once it takes it, counts readings by their end (`readings`), bytes passed on (`passed_bytes`) and sets `book_behind_ms`. No decision changes.

--- a/crates/fleet/src/swim/mod.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -4,6 +4,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use chestnut_book::BookVersion;
 use chestnut_conf::BookDigest;
 use chestnut_unit::{Incarnation, MemberId, Time};
 use rand::Rng;
@@ -89,6 +90,8 @@
     pub confirmed: Option<Duration>,
     /// Requests that the sender runs, for the order of entries.
     pub load: u32,
+    /// Version of the route book that the sender has in force; 0 if none.
+    pub book: BookVersion,
     /// Statements about others.
     pub news: Vec<Member>,
 }
@@ -111,6 +114,8 @@
     pub confirmed: Option<Duration>,
     /// Requests that run.
     pub load: u32,
+    /// Version of the route book in force; 0 if none.
+    pub book: BookVersion,
 }
 
 #[derive(Clone, Debug)]
@@ -385,6 +390,7 @@
             digest: status.digest,
             confirmed: status.confirmed,
             load: status.load,
+            book: status.book,
             news: Vec::new(),
         }
     }
--- a/crates/port/schema/peer.capnp
+++ b/crates/port/schema/peer.capnp
@@ -47,6 +47,8 @@
   load @6 :UInt32;
   news @7 :List(Member);
   target @8 :Text;
+  # Version of the route book that the sender has in force; 0 if none.
+  book @9 :UInt64;
 }
 
 struct SubQuery {
--- a/crates/port/src/peer_capnp.rs
+++ b/crates/port/src/peer_capnp.rs
@@ -1070,11 +1070,15 @@
         pub fn has_target(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_book(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1220,6 +1224,14 @@
         pub fn has_target(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_book(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_book(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1234,87 +1246,94 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 157] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(108, 8, 141, 107, 217, 102, 41, 167),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 114, 111, 98, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1392,6 +1411,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 111, 107, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1404,6 +1431,7 @@
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1417,9 +1445,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,4,3,1,6,7,2,8,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,4,3,1,6,7,2,8,0];
         pub(crate) const TYPE_ID: u64 = 0xa729_66d9_6b8d_086c;
     }
 }
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use capnp::{message::ReaderOptions, struct_list, text};
+use chestnut_book::BookVersion;
 use chestnut_conf::{BookDigest, Kind, Object, ObjectKey};
 use chestnut_fleet::{Addresses, Heir, Liveness, Member, Probe, ProbeKind};
 use chestnut_once::{Handed, Outcome, Ticket};
@@ -145,6 +146,7 @@
     root.set_digest(probe.digest.0);
     root.set_confirmed_ms(probe.confirmed.map_or(-1, |age| age.as_millis() as i64));
     root.set_load(probe.load);
+    root.set_book(probe.book.0);
     let news = root.init_news(probe.news.len() as u32);
     put_members(&probe.news, news);
     let mut bytes = Vec::new();
@@ -173,6 +175,7 @@
         digest: BookDigest(root.get_digest()),
         confirmed: age.map(Duration::from_millis),
         load: root.get_load(),
+        book: BookVersion(root.get_book()),
         news: get_members(root.get_news()?)?,
     })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,6 +29,7 @@
 mod shared;
 mod source;
 mod sources;
+mod spread;
 mod upstream;
 mod watch;
 
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -374,6 +374,7 @@
 ) {
     let now: Time = shared.now();
     lock(&members.swim).receive(probe, from, status(shared, members), now, out);
+    shared.hear_version(probe.from.addresses.peers, probe.book);
 }
 
 /// What this entry says of itself: its load in calls to leafs a second.
@@ -383,6 +384,7 @@
     members.load.store(load, Ordering::Relaxed);
     Status {
         load,
+        book: shared.book_version(),
         ..Status::default()
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -44,9 +44,12 @@
     calls: Family<KindLabels, Counter>,
     store: Family<KindLabels, Counter>,
     pub(crate) evictions: Counter,
+    pub(crate) passed: Counter,
     pub(crate) members: Gauge,
     pub(crate) leafs: Gauge,
     pub(crate) book: Gauge,
+    behind: Gauge,
+    readings: Family<KindLabels, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) classes: Gauge,
 }
@@ -62,9 +65,12 @@
             calls: Family::default(),
             store: Family::default(),
             evictions: Counter::default(),
+            passed: Counter::default(),
             members: Gauge::default(),
             leafs: Gauge::default(),
             book: Gauge::default(),
+            behind: Gauge::default(),
+            readings: Family::default(),
             in_flight: Gauge::default(),
             classes: Gauge::default(),
         };
@@ -80,10 +86,22 @@
         r.register("requests", "Requests by outcome", outcomes);
         r.register("calls", "Calls to leafs by kind", self.calls.clone());
         r.register("store_calls", "Calls to the store", self.store.clone());
+        r.register(
+            "passed_bytes",
+            "Bytes passed on to other entries",
+            self.passed.clone(),
+        );
         r.register("evictions", "Leafs evicted", self.evictions.clone());
         r.register("members", "Entries that serve", self.members.clone());
         r.register("leafs", "Leafs that are known", self.leafs.clone());
         r.register("book_version", "Version in force", self.book.clone());
+        let behind = "Milliseconds since a peer told of a newer version, 0 if none has";
+        r.register("book_behind_ms", behind, self.behind.clone());
+        r.register(
+            "readings",
+            "Readings of a feed by how they ended",
+            self.readings.clone(),
+        );
         r.register("in_flight", "Requests that run", self.in_flight.clone());
         r.register("classes", "Classes of calls", self.classes.clone());
     }
@@ -107,6 +125,16 @@
         self.store.get_or_create(&KindLabels { kind }).inc();
     }
 
+    /// Sets for how long a newer book has been known of; `None` if none is.
+    pub(crate) fn set_behind(&self, span: Option<Duration>) {
+        self.behind
+            .set(span.map_or(0, |span| span.as_millis() as i64));
+    }
+
+    pub(crate) fn count_reading(&self, kind: &'static str) {
+        self.readings.get_or_create(&KindLabels { kind }).inc();
+    }
+
     /// All metrics as text.
     pub(crate) fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -8,10 +8,11 @@
 use bytes::Bytes;
 use chestnut_book::RouteBook;
 use chestnut_flow::lock;
-use chestnut_port::{Batch, FeedError, FeedService, Item, RawBatch};
+use chestnut_port::{Batch, Content, FeedError, FeedService, Item, RawBatch};
 use chestnut_unit::LeafId;
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
+use slog::debug;
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
@@ -56,6 +57,21 @@
         }
     }
 
+    /// Counts what an answer weighs, and logs a heavy one.
+    fn tell_size(&self, feed: &str, batch: &RawBatch) {
+        /// Bytes from which an answer has a line of its own.
+        const HEAVY: usize = 64 << 10;
+        let size = |item: &Item<Bytes>| match &item.content {
+            Content::Is(value) => value.len(),
+            Content::Deleted | Content::Malformed => 0,
+        };
+        let bytes: usize = batch.items.iter().map(size).sum();
+        self.0.metrics.passed.inc_by(bytes as u64);
+        if bytes >= HEAVY {
+            debug!(self.0.host.log, "watch: passes on the {feed}"; "bytes" => bytes);
+        }
+    }
+
     async fn wait(&self, feed: &str, revision: u64) -> Result<RawBatch, FeedError> {
         let mut told = self.0.passed.told.subscribe();
         let mut pulses = self.0.pulse.subscribe();
@@ -66,6 +82,7 @@
             self.pulse()?;
             let batch = self.tell(feed, |m| m.since(revision), |m| m.since(revision))?;
             if !batch.items.is_empty() {
+                self.tell_size(feed, &batch);
                 return Ok(batch);
             }
             tokio::select! {
@@ -101,7 +118,9 @@
     /// meanwhile can serve by it as this one does, instead of refusing every caller
     /// until the store is back. What changed comes from elsewhere.
     fn all(&self, feed: &str) -> Result<RawBatch, FeedError> {
-        self.tell(feed, Mirror::all, Mirror::all)
+        let batch = self.tell(feed, Mirror::all, Mirror::all)?;
+        self.tell_size(feed, &batch);
+        Ok(batch)
     }
 
     fn follow(
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use chestnut_book::RouteBook;
+use chestnut_book::{BookVersion, RouteBook};
 use chestnut_flow::{Cell, Host, lock};
 use chestnut_port::Forward;
 use chestnut_route::{Choice, Class, Table, TableConfig};
@@ -25,6 +25,7 @@
     pass::Passed,
     pulse::Pulse,
     settings::{ExtraCalls, RelaySettings, Times},
+    spread::Spread,
     upstream::{Upstream, UpstreamChoice},
 };
 
@@ -57,6 +58,8 @@
     pub(crate) passed: Passed,
     /// Which peers failed as upstream.
     pub(crate) upstreams: Mutex<UpstreamChoice>,
+    /// Which peers have a newer book.
+    pub(crate) spread: Mutex<Spread>,
     /// The upstream may have to change.
     pub(crate) choose: Notify,
     pub(crate) in_flight: AtomicU32,
@@ -86,6 +89,7 @@
             upstream: watch::Sender::new(Upstream::Store),
             passed: Passed::new(),
             upstreams: Mutex::default(),
+            spread: Mutex::default(),
             choose: Notify::new(),
             in_flight: AtomicU32::new(0),
             calls: AtomicU64::new(0),
@@ -112,6 +116,27 @@
         self.choose.notify_one();
     }
 
+    /// The version of the book in force; 0 if none.
+    pub(crate) fn book_version(&self) -> BookVersion {
+        let state = lock(&self.cell.state);
+        state
+            .extra
+            .book
+            .as_ref()
+            .map_or(BookVersion(0), |book| book.version)
+    }
+
+    /// Takes it that a peer has `version` of the book in force.
+    pub(crate) fn hear_version(&self, peer: SocketAddr, version: BookVersion) {
+        let own = self.book_version();
+        let now = self.now();
+        if lock(&self.spread).told(peer, version, own, now) {
+            info!(self.host.log, "watch: a peer has a newer book";
+                "peer" => %peer, "book" => %version, "own" => %own);
+        }
+        self.metrics.set_behind(lock(&self.spread).behind(now));
+    }
+
     /// Takes a book, unless a newer one is known.
     pub(crate) fn take_book(&self, book: RouteBook) -> bool {
         let mut state = lock(&self.cell.state);
@@ -128,8 +153,17 @@
             }
             stays
         });
+        let version = book.version;
         ground.book = Some(Arc::new(book));
         set_bounds(&mut state);
+        drop(state);
+        let now = self.now();
+        let mut spread = lock(&self.spread);
+        if let Some(span) = spread.taken(version, now) {
+            info!(self.host.log, "watch: peers had this book before";
+                "book" => %version, "behind_ms" => span.as_millis() as u64);
+        }
+        self.metrics.set_behind(spread.behind(now));
         true
     }
 
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,6 +1,6 @@
 //! From whom an entry hears of changes.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, time::Duration};
 
 use chestnut_fleet::{Liveness, Member};
 use chestnut_unit::{DomainName, Time};
@@ -56,6 +56,15 @@
     Peer(SocketAddr),
 }
 
+impl fmt::Display for Upstream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store => f.write_str("the store"),
+            Self::Peer(peer) => peer.fmt(f),
+        }
+    }
+}
+
 /// Chooses from whom to hear.
 ///
 /// The strongest entry of each failure domain watches the store and passes on
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -6,7 +6,7 @@
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, Feed, FeedError, Freshness, Item};
 use chestnut_unit::{LeafId, Time};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::{
@@ -99,7 +99,10 @@
             shared.metrics.count_store(what);
         }
         let source = feed(upstream);
-        let Some(answer) = answer(shared, &*source, &mut follower, upstream).await else {
+        let begun = shared.now();
+        let answer = answer(shared, &*source, &mut follower, upstream).await;
+        tell_reading(shared, what, upstream, begun, answer.as_ref());
+        let Some(answer) = answer else {
             continue;
         };
         match (answer, upstream) {
@@ -137,6 +140,29 @@
     }
 }
 
+/// Counts a reading and logs one that ended without its answer: what it had read
+/// is lost, and the next one begins anew.
+fn tell_reading<T>(
+    shared: &Shared,
+    what: &'static str,
+    from: Upstream,
+    begun: Time,
+    answer: Option<&Result<Batch<T>, FeedError>>,
+) {
+    let kind = match answer {
+        Some(Ok(batch)) if batch.items.is_empty() => "nothing new",
+        Some(Ok(_)) => "taken",
+        Some(Err(FeedError::Lost | FeedError::Elsewhere(_))) => "held back",
+        Some(Err(_)) => "failed",
+        None => "given up",
+    };
+    shared.metrics.count_reading(kind);
+    if answer.is_none() {
+        debug!(shared.host.log, "watch: gave up a call for the {what}"; "from" => %from,
+            "after_ms" => shared.now().since(begun).as_millis() as u64);
+    }
+}
+
 /// The answer to the follower's next call; `None` if the store is lost or the
 /// upstream is another now.
 async fn answer<T>(
--- a/crates/tier/src/shared.rs
+++ b/crates/tier/src/shared.rs
@@ -258,6 +258,7 @@
             digest: conf.book.digest(),
             confirmed: conf.confirm.age(now),
             load: self.in_flight.load(Ordering::Relaxed),
+            ..Status::default()
         }
     }
 
