--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -8,7 +8,7 @@
 
 #[allow(unused_imports, reason = "each test file uses its own part")]
 pub use leafs::{FakeLeafs, Got, Manner};
-pub use net::{FakeFeeds, FakeNet};
+pub use net::{FakeFeeds, FakeNet, Links};
 #[allow(unused_imports, reason = "each test file uses its own part")]
 pub use store::{Answers, FakeStore};
 
@@ -62,15 +62,16 @@
         let probes = self.net.join(settings.listen.peers);
         let log = Logger::root(Discard, o!());
         let host = Host::new(log, Trace::None, Clock::start(), u64::from(n));
-        let (feeds, own) = (self.feeds.clone(), settings.listen.peers);
+        let own = settings.listen.peers;
+        let feeds = self.feeds.reached_by(own);
         let ports = RelayPorts {
-            book: Arc::new(self.store.reached_by(n)),
-            leafs: Arc::new(self.store.reached_by(n)),
+            book: Arc::new(self.store.reached_by(n, &self.feeds.1)),
+            leafs: Arc::new(self.store.reached_by(n, &self.feeds.1)),
             peers: Box::new(move |service| {
                 lock(&feeds.0).insert(own, service);
                 async move { Ok(Arc::new(feeds) as Arc<dyn FeedPeers>) }.boxed()
             }),
-            adverts: Arc::new(self.store.reached_by(n)),
+            adverts: Arc::new(self.store.reached_by(n, &self.feeds.1)),
             forward: Arc::new(self.leafs.clone()),
             probes: Arc::new(probes),
         };
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -12,11 +12,17 @@
 use chestnut_relay::{Advert, Adverts, LeafEntry};
 use chestnut_unit::{LeafId, MemberId};
 use futures::{FutureExt, future::BoxFuture};
+use serde::Serialize;
 use tokio::{
     sync::Notify,
     time::{Instant, sleep},
 };
 
+use super::{
+    net::{FRAME, Links},
+    peers_address,
+};
+
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answers {
@@ -53,6 +59,7 @@
     changed: Arc<Notify>,
     /// The entry that calls through this handle.
     caller: u16,
+    links: Links,
 }
 
 impl FakeStore {
@@ -104,12 +111,25 @@
     }
 
     /// The store as entry number `n` reaches it.
-    pub fn reached_by(&self, n: u16) -> Self {
+    pub fn reached_by(&self, n: u16, links: &Links) -> Self {
         let mut store = self.clone();
         store.caller = n;
+        store.links = links.clone();
         store
     }
 
+    /// Brings the objects of an answer over the caller's link.
+    async fn carry<T: Serialize>(&self, batch: Batch<T>) -> Batch<T> {
+        let size = |item: &Item<T>| match &item.content {
+            Content::Is(value) => serde_json::to_vec(value).unwrap().len(),
+            Content::Deleted | Content::Malformed => 0,
+        };
+        let bytes = FRAME + batch.items.iter().map(size).sum::<usize>();
+        let to = peers_address(self.caller);
+        self.links.carry(None, to, bytes).await;
+        batch
+    }
+
     /// Turns some entries away, and no others.
     pub fn bar(&self, entries: BTreeSet<u16>) {
         lock(&self.stored).barred = entries;
@@ -205,15 +225,18 @@
     fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
         async move {
             self.check().await?;
-            let stored = lock(&self.stored);
-            let item = |(_, book): &(u64, RouteBook)| Item {
-                name: "main".to_owned(),
-                content: Content::Is(book.clone()),
+            let batch = {
+                let stored = lock(&self.stored);
+                let item = |(_, book): &(u64, RouteBook)| Item {
+                    name: "main".to_owned(),
+                    content: Content::Is(book.clone()),
+                };
+                Batch {
+                    items: stored.book.iter().map(item).collect(),
+                    revision: stored.revision,
+                }
             };
-            Ok(Batch {
-                items: stored.book.iter().map(item).collect(),
-                revision: stored.revision,
-            })
+            Ok(self.carry(batch).await)
         }
         .boxed()
     }
@@ -243,7 +266,8 @@
                     revision: stored.revision,
                 })
             };
-            Ok(self.until(wait, find, nothing).await)
+            let batch = self.until(wait, find, nothing).await;
+            Ok(self.carry(batch).await)
         }
         .boxed()
     }
