Tell a source that is slow from one that is lost: go on for as long as bytes come

Cause: calls to peers were given up after 400 ms, those to the store after 0.6 to 2 s, whatever was on its way. A book of 833 KB takes 0.48 s on a link of 14 Mbit/s. Now a call is given up when its wait is over and nothing has come from the other side for as long (400 ms at most from peers, 1 s from the store), 5 s beyond the wait at most. Calls with a caller's deadline keep it. The same for the control calls of chestnutd, whose starting entries read all objects of a peer within 2 s. Checks of a watch are bounded by the adapters, which see the bytes. Ruled out: longer waits.

--- a/crates/port/src/feed.rs
+++ b/crates/port/src/feed.rs
@@ -106,4 +106,8 @@
 
     /// Waits up to `wait` for objects to change after `revision`.
     fn watch(&self, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<T>, FeedError>>;
+
+    /// What has changed after `revision` until now. The call is given up as soon as a
+    /// source is known not to answer it, which differs between stores and peers.
+    fn check(&self, revision: u64) -> BoxFuture<'_, Result<Batch<T>, FeedError>>;
 }
--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -12,12 +12,14 @@
 use crate::{
     Batch, Content, Feed, FeedError, Freshness, Item, PeerError,
     feed_capnp::{feeds, reply},
-    rpc::RpcNet,
+    rpc::{Patience, RpcNet},
 };
 
-/// Longest wait for a call that does not wait for changes. Peers answer within
-/// milliseconds; a hung one must be given up well before changes are due.
+/// Longest wait for a call that does not wait for changes, while nothing comes. Peers
+/// answer within milliseconds; a hung one must be given up well before changes are due.
 const WAIT: Duration = Duration::from_millis(400);
+/// Wait of a call that only checks for changes.
+const CHECK: Duration = Duration::from_millis(1);
 /// Time beyond a watch's own wait in which its answer must come.
 const WATCH_SLACK: Duration = Duration::from_secs(1);
 
@@ -98,6 +100,28 @@
     FeedError::Unavailable(error.to_string())
 }
 
+impl<T: DeserializeOwned> PeerFeed<T> {
+    async fn changes(
+        &self,
+        revision: u64,
+        span: Duration,
+        wait: Duration,
+    ) -> Result<Batch<T>, FeedError> {
+        let name = self.name;
+        let call = move |client: feeds::Client| async move {
+            let mut request = client.follow_request();
+            let mut params = request.get();
+            params.set_feed(name);
+            params.set_after(revision);
+            params.set_wait_ms(u32::try_from(span.as_millis()).unwrap_or(u32::MAX));
+            let answer = request.send().promise.await?;
+            read_reply(answer.get()?.get_reply()?)
+        };
+        let reply = self.net.run(self.to, Patience::Silent(wait), call).await;
+        parse(reply.map_err(unavailable)??)
+    }
+}
+
 impl<T: DeserializeOwned + Send + Sync> Feed<T> for PeerFeed<T> {
     fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
         async move {
@@ -108,7 +132,7 @@
                 let answer = request.send().promise.await?;
                 read_reply(answer.get()?.get_reply()?)
             };
-            let reply = self.net.run(self.to, WAIT, call).await;
+            let reply = self.net.run(self.to, Patience::Silent(WAIT), call).await;
             parse(reply.map_err(unavailable)??)
         }
         .boxed()
@@ -120,28 +144,18 @@
                 let answer = client.pulse_request().send().promise.await?;
                 read_reply(answer.get()?.get_reply()?)
             };
-            let reply = self.net.run(self.to, WAIT, call).await;
+            let reply = self.net.run(self.to, Patience::Silent(WAIT), call).await;
             Ok(reply.map_err(unavailable)??.revision)
         }
         .boxed()
     }
 
     fn watch(&self, revision: u64, wait: Duration) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
-        async move {
-            let name = self.name;
-            let call = move |client: feeds::Client| async move {
-                let mut request = client.follow_request();
-                let mut params = request.get();
-                params.set_feed(name);
-                params.set_after(revision);
-                params.set_wait_ms(u32::try_from(wait.as_millis()).unwrap_or(u32::MAX));
-                let answer = request.send().promise.await?;
-                read_reply(answer.get()?.get_reply()?)
-            };
-            let reply = self.net.run(self.to, wait + WATCH_SLACK, call).await;
-            parse(reply.map_err(unavailable)??)
-        }
-        .boxed()
+        self.changes(revision, wait, wait + WATCH_SLACK).boxed()
+    }
+
+    fn check(&self, revision: u64) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        self.changes(revision, CHECK, WAIT).boxed()
     }
 }
 
--- a/crates/port/src/http.rs
+++ b/crates/port/src/http.rs
@@ -1,8 +1,15 @@
 //! A small HTTP client for the platform, the command line and the tests.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    pin::pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use bytes::Bytes;
+use chestnut_unit::lock;
 use displaydoc::Display;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{HeaderMap, Method, Request, StatusCode};
@@ -10,9 +17,17 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Longest wait for a connection to open.
 const CONNECT: Duration = Duration::from_secs(1);
+/// Longest silence of a server in the middle of an answer that is read by
+/// [`HttpClient::read`].
+const SILENCE: Duration = Duration::from_secs(1);
+/// Longest that such an answer is read beyond its wait.
+const SLOW_MAX: Duration = Duration::from_secs(5);
+/// Servers of which it is kept when bytes came last. A process speaks to a few.
+const SERVERS: usize = 16;
 /// Largest answer that is read.
 const ANSWER_MAX: usize = 64 << 20;
 
@@ -52,6 +67,8 @@
 #[derive(Clone, Debug)]
 pub struct HttpClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    /// When bytes came last from a server, on any connection.
+    heard: Arc<Mutex<BTreeMap<SocketAddr, Instant>>>,
 }
 
 impl Default for HttpClient {
@@ -66,6 +83,7 @@
         connector.set_tcp_user_timeout(Some(silence.unacked));
         Self {
             client: Client::builder(TokioExecutor::new()).build(connector),
+            heard: Arc::default(),
         }
     }
 }
@@ -84,18 +102,53 @@
         body: Bytes,
         wait: Duration,
     ) -> Result<HttpReply, HttpError> {
-        let request = Request::builder()
-            .method(method)
-            .uri(format!("http://{address}{path}"))
-            .header("content-type", "application/json")
-            .body(Full::new(body))
-            .map_err(|_| HttpError::Connect)?;
-        tokio::time::timeout(wait, self.send(request))
+        let request = request(method, address, path, body)?;
+        timeout(wait, self.send(request, address))
             .await
             .unwrap_or(Err(HttpError::Lost))
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<HttpReply, HttpError> {
+    /// Makes one call like [`HttpClient::call`], and goes on beyond `wait` for as long
+    /// as bytes come from the server.
+    ///
+    /// An answer of a megabyte takes 0.7 s on a link of 14 Mbit/s, and what is asked
+    /// meanwhile waits behind it. By a wait alone the server would count as lost, and
+    /// what has come would be thrown away.
+    ///
+    /// # Errors
+    ///
+    /// No connection, no answer within `wait`, or a server that falls silent for a
+    /// second in the middle of it.
+    pub async fn read(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<HttpReply, HttpError> {
+        let request = request(method, address, path, body)?;
+        let asked = Instant::now();
+        let mut answer = pin!(self.send(request, address));
+        let mut end = asked + wait;
+        loop {
+            if let Ok(answer) = timeout_at(end, &mut answer).await {
+                return answer;
+            }
+            let heard = lock(&self.heard).get(&address).copied().unwrap_or(asked);
+            let slow = (heard + wait.min(SILENCE)).min(asked + wait + SLOW_MAX);
+            if slow <= end {
+                return Err(HttpError::Lost);
+            }
+            end = slow;
+        }
+    }
+
+    async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        server: SocketAddr,
+    ) -> Result<HttpReply, HttpError> {
         let answer = self.client.request(request).await.map_err(|e| {
             if e.is_connect() {
                 HttpError::Connect
@@ -103,7 +156,12 @@
                 HttpError::Lost
             }
         })?;
+        self.hear(server);
         let (parts, body) = answer.into_parts();
+        let body = body.map_frame(|frame| {
+            self.hear(server);
+            frame
+        });
         let collected = Limited::new(body, ANSWER_MAX)
             .collect()
             .await
@@ -114,4 +172,26 @@
             body: collected.to_bytes(),
         })
     }
+
+    fn hear(&self, server: SocketAddr) {
+        let mut heard = lock(&self.heard);
+        if heard.len() >= SERVERS && !heard.contains_key(&server) {
+            heard.pop_first();
+        }
+        heard.insert(server, Instant::now());
+    }
+}
+
+fn request(
+    method: Method,
+    address: SocketAddr,
+    path: &str,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, HttpError> {
+    Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"))
+        .header("content-type", "application/json")
+        .body(Full::new(body))
+        .map_err(|_| HttpError::Connect)
 }
--- a/crates/port/src/peer_rpc.rs
+++ b/crates/port/src/peer_rpc.rs
@@ -13,11 +13,15 @@
 
 use crate::{
     Dispatch, PeerError, PeerService, Peers, SubAnswer, SubQuery, Submission, SubmitReply,
-    peer_capnp::peer, peer_serve::Session, rpc::RpcNet, wire,
+    peer_capnp::peer,
+    peer_serve::Session,
+    rpc::{Patience, RpcNet},
+    wire,
 };
 
-/// Longest wait for calls that state no deadline.
-const CONTROL_WAIT: Duration = Duration::from_secs(2);
+/// Calls that state no deadline: an entry that starts reads all objects of a peer, and
+/// goes on while they come.
+const CONTROL: Patience = Patience::Silent(Duration::from_secs(2));
 
 /// The peer side of an entry. Dropping it ends its thread.
 #[derive(Clone, Debug)]
@@ -58,12 +62,16 @@
     fn query(&self, to: SocketAddr, ask: SubQuery) -> BoxFuture<'_, Result<SubAnswer, PeerError>> {
         let wait = ask.deadline;
         self.net
-            .run(to, wait, move |client: peer::Client| async move {
-                let mut request = client.query_request();
-                wire::put_query(&ask, request.get().init_ask());
-                let answer = request.send().promise.await?;
-                wire::get_answer(answer.get()?.get_answer()?)
-            })
+            .run(
+                to,
+                Patience::Until(wait),
+                move |client: peer::Client| async move {
+                    let mut request = client.query_request();
+                    wire::put_query(&ask, request.get().init_ask());
+                    let answer = request.send().promise.await?;
+                    wire::get_answer(answer.get()?.get_answer()?)
+                },
+            )
             .boxed()
     }
 
@@ -74,18 +82,22 @@
     ) -> BoxFuture<'_, Result<SubmitReply, PeerError>> {
         let wait = ask.deadline;
         self.net
-            .run(to, wait, move |client: peer::Client| async move {
-                let mut request = client.submit_request();
-                wire::put_submission(&ask, request.get().init_ask());
-                let answer = request.send().promise.await?;
-                wire::get_reply(answer.get()?.get_outcome()?)
-            })
+            .run(
+                to,
+                Patience::Until(wait),
+                move |client: peer::Client| async move {
+                    let mut request = client.submit_request();
+                    wire::put_submission(&ask, request.get().init_ask());
+                    let answer = request.send().promise.await?;
+                    wire::get_reply(answer.get()?.get_outcome()?)
+                },
+            )
             .boxed()
     }
 
     fn members(&self, to: SocketAddr) -> BoxFuture<'_, Result<Vec<Member>, PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let answer = client.members_request().send().promise.await?;
                 wire::get_members(answer.get()?.get_members()?)
             })
@@ -98,7 +110,7 @@
         have: BTreeMap<ObjectKey, u64>,
     ) -> BoxFuture<'_, Result<Vec<Object>, PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let mut request = client.objects_request();
                 let list = request.get().init_have(have.len() as u32);
                 wire::put_have(&have, list);
@@ -110,7 +122,7 @@
 
     fn push(&self, to: SocketAddr, objects: Vec<Object>) -> BoxFuture<'_, Result<(), PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let mut request = client.push_request();
                 let list = request.get().init_objects(objects.len() as u32);
                 wire::put_objects(&objects, list);
@@ -122,14 +134,16 @@
 
     fn dispatch(&self, to: SocketAddr, ask: Dispatch) -> BoxFuture<'_, Result<Bytes, Failure>> {
         let wait = ask.deadline;
-        let call = self
-            .net
-            .run(to, wait, move |client: peer::Client| async move {
+        let call = self.net.run(
+            to,
+            Patience::Until(wait),
+            move |client: peer::Client| async move {
                 let mut request = client.dispatch_request();
                 wire::put_dispatch(&ask, request.get().init_ask());
                 let answer = request.send().promise.await?;
                 wire::get_dispatched(answer.get()?.get_answer()?)
-            });
+            },
+        );
         call.map(|result| match result {
             Ok(answer) => answer,
             Err(PeerError::NotSent) => Err(Failure::NotSent),
@@ -140,7 +154,7 @@
 
     fn leaving(&self, to: SocketAddr, leafs: Vec<LeafId>) -> BoxFuture<'_, Result<(), PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let mut request = client.leaving_request();
                 let mut list = request.get().init_leafs(leafs.len() as u32);
                 for (at, leaf) in (0u32..).zip(&leafs) {
@@ -154,7 +168,7 @@
 
     fn records(&self, to: SocketAddr, batch: Bytes) -> BoxFuture<'_, Result<(), PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let mut request = client.records_request();
                 request.get().set_batch(&batch);
                 request.send().promise.await?;
@@ -169,7 +183,7 @@
         tickets: Vec<Handed>,
     ) -> BoxFuture<'_, Result<Incarnation, PeerError>> {
         self.net
-            .run(to, CONTROL_WAIT, move |client: peer::Client| async move {
+            .run(to, CONTROL, move |client: peer::Client| async move {
                 let mut request = client.adopt_request();
                 let list = request.get().init_tickets(tickets.len() as u32);
                 wire::put_handed(&tickets, list);
--- a/crates/port/src/rpc.rs
+++ b/crates/port/src/rpc.rs
@@ -10,19 +10,21 @@
     collections::BTreeMap,
     future::Future,
     net::SocketAddr,
+    pin::{Pin, pin},
     rc::Rc,
     sync::Arc,
+    task::{Context, Poll},
     time::Duration,
 };
 
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
-use futures::FutureExt;
+use futures::{AsyncRead, FutureExt};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
     task::{LocalSet, spawn_local},
-    time::{Instant, timeout},
+    time::{Instant, timeout, timeout_at},
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -36,6 +38,49 @@
 /// is dropped: it may be silent for good, and a new one may work.
 const SILENT_MAX: Duration = Duration::from_secs(1);
 
+/// Longest that a call goes on because bytes come from the peer. At 14 Mbit/s, the
+/// slowest link that entries have, 8 MB come within it, ten times the largest answer
+/// that was measured.
+const SLOW_MAX: Duration = Duration::from_secs(5);
+
+/// When a call is given up.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Patience {
+    /// After a span, as the caller waits no longer.
+    Until(Duration),
+    /// Once the span is over and nothing has come from the peer for as long, or for
+    /// [`SILENCE`] if that is shorter.
+    ///
+    /// An answer of 0.8 MB takes 0.5 s on a link of 14 Mbit/s, and what is asked
+    /// meanwhile waits behind it. With a span alone the peer counted as lost, what had
+    /// come was thrown away and asked for elsewhere, and links filled with answers that
+    /// nobody took.
+    Silent(Duration),
+}
+
+/// Longest silence of a peer in the middle of an answer.
+const SILENCE: Duration = Duration::from_millis(400);
+
+impl Patience {
+    fn span(self) -> Duration {
+        match self {
+            Self::Until(span) | Self::Silent(span) => span,
+        }
+    }
+
+    /// When a call that was made at `asked` is given up, bytes having come last at
+    /// `heard`.
+    fn end(self, asked: Instant, heard: Instant) -> Instant {
+        match self {
+            Self::Until(span) => asked + span,
+            Self::Silent(span) => {
+                let slow = (heard + span.min(SILENCE)).min(asked + span + SLOW_MAX);
+                slow.max(asked + span)
+            }
+        }
+    }
+}
+
 /// The client side of an interface.
 pub(crate) trait Client: FromClientHook + Clone + 'static {}
 
@@ -87,11 +132,11 @@
         self.address
     }
 
-    /// Runs `call` on the thread, and gives up on it after `wait`.
+    /// Runs `call` on the thread, and gives up on it in time.
     pub(crate) async fn run<T, K, F>(
         &self,
         to: SocketAddr,
-        wait: Duration,
+        patience: Patience,
         call: K,
     ) -> Result<T, PeerError>
     where
@@ -104,7 +149,7 @@
             spawn_local(async move {
                 let mut answer = answer;
                 tokio::select! {
-                    result = one_call(&local, to, wait, call) => {
+                    result = one_call(&local, to, patience, call) => {
                         // A caller that has gone away needs no answer.
                         let _ = answer.send(result);
                     }
@@ -120,10 +165,31 @@
 /// A connection to one peer.
 struct Line<C> {
     client: C,
-    heard: Cell<Instant>,
+    /// When bytes came on it last.
+    heard: Rc<Cell<Instant>>,
     open: Cell<bool>,
 }
 
+/// Notes when bytes come.
+struct Heard<R> {
+    inner: R,
+    heard: Rc<Cell<Instant>>,
+}
+
+impl<R: AsyncRead + Unpin> AsyncRead for Heard<R> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let read = Pin::new(&mut self.inner).poll_read(context, buffer);
+        if matches!(read, Poll::Ready(Ok(1..))) {
+            self.heard.set(Instant::now());
+        }
+        read
+    }
+}
+
 /// What lives on the thread.
 struct Local<C> {
     lines: RefCell<BTreeMap<SocketAddr, Rc<Line<C>>>>,
@@ -159,19 +225,25 @@
             tokio::time::sleep(REST).await;
             continue;
         };
-        let network = network(stream, Side::Server);
+        let heard = Rc::new(Cell::new(Instant::now()));
+        let network = network(stream, Side::Server, heard);
         let system = RpcSystem::new(network, Some(serve()));
         // A broken message ends this connection and nothing else.
         spawn_local(system.map(drop));
     }
 }
 
-fn network(stream: TcpStream, side: Side) -> Box<twoparty::VatNetwork<impl futures::AsyncRead>> {
+fn network(
+    stream: TcpStream,
+    side: Side,
+    heard: Rc<Cell<Instant>>,
+) -> Box<twoparty::VatNetwork<impl AsyncRead>> {
     // Without it each small message waits for the one before to be confirmed.
     let _ = stream.set_nodelay(true);
     let (reader, writer) = stream.into_split();
+    let inner = reader.compat();
     Box::new(twoparty::VatNetwork::new(
-        reader.compat(),
+        Heard { inner, heard },
         writer.compat_write(),
         side,
         wire::reader_options(),
@@ -181,7 +253,7 @@
 async fn one_call<T, C, K, F>(
     local: &Rc<Local<C>>,
     to: SocketAddr,
-    wait: Duration,
+    patience: Patience,
     call: K,
 ) -> Result<T, PeerError>
 where
@@ -189,23 +261,26 @@
     K: FnOnce(C) -> F,
     F: Future<Output = Result<T, capnp::Error>>,
 {
-    let line = line_to(local, to, wait).await?;
-    match timeout(wait, call(line.client.clone())).await {
-        Ok(Ok(answer)) => {
-            line.heard.set(Instant::now());
-            Ok(answer)
-        }
-        Ok(Err(error)) => {
-            if error.kind == capnp::ErrorKind::Disconnected {
-                drop_line(local, to, &line);
+    let line = line_to(local, to, patience.span()).await?;
+    let asked = Instant::now();
+    let mut answer = pin!(call(line.client.clone()));
+    loop {
+        let end = patience.end(asked, line.heard.get());
+        match timeout_at(end, &mut answer).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(error)) => {
+                if error.kind == capnp::ErrorKind::Disconnected {
+                    drop_line(local, to, &line);
+                }
+                return Err(PeerError::Lost);
             }
-            Err(PeerError::Lost)
-        }
-        Err(_) => {
-            if line.heard.get().elapsed() > SILENT_MAX {
-                drop_line(local, to, &line);
+            Err(_) if patience.end(asked, line.heard.get()) > end => {}
+            Err(_) => {
+                if line.heard.get().elapsed() > SILENT_MAX {
+                    drop_line(local, to, &line);
+                }
+                return Err(PeerError::Lost);
             }
-            Err(PeerError::Lost)
         }
     }
 }
@@ -224,10 +299,12 @@
         .await
         .map_err(|_| PeerError::NotSent)?
         .map_err(|_| PeerError::NotSent)?;
-    let mut system = RpcSystem::new(network(stream, Side::Client), None);
+    let heard = Rc::new(Cell::new(Instant::now()));
+    let network = network(stream, Side::Client, heard.clone());
+    let mut system = RpcSystem::new(network, None);
     let line = Rc::new(Line {
         client: system.bootstrap(Side::Server),
-        heard: Cell::new(Instant::now()),
+        heard,
         open: Cell::new(true),
     });
     let (watched, keeper) = (line.clone(), local.clone());
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -23,10 +23,6 @@
 /// stores let it wait; a watch that is lost is found by the pulse and not by
 /// its end.
 const WATCH: Duration = Duration::from_secs(25);
-/// Wait of a call that only checks for changes.
-const CHECK: Duration = Duration::from_millis(1);
-/// Longest wait for its answer.
-const CHECK_WAIT: Duration = Duration::from_millis(600);
 /// Rest after a peer failed, in which another upstream is chosen.
 const PEER_REST: Duration = Duration::from_millis(20);
 /// Rest after a peer said that it can't pass on the store now.
@@ -193,21 +189,16 @@
         if upstream == Upstream::Store {
             shared.metrics.count_store("check");
         }
-        let checked = timeout(CHECK_WAIT, feed.watch(follower.known(), CHECK)).await;
-        match checked {
+        match feed.check(follower.known()).await {
             // Nothing of this kind has changed: the watch may be sound.
-            Ok(Ok(batch)) if batch.items.is_empty() => {
+            Ok(batch) if batch.items.is_empty() => {
                 follower.answered(batch.revision.max(follower.known()));
                 asked = shared.now();
             }
-            Ok(answer) => {
+            answer => {
                 info!(shared.host.log, "watch: a change was not told"; "revision" => revision);
                 return Some(answer);
             }
-            Err(_) => {
-                let late = "a check of the watch gave no answer".to_owned();
-                return Some(Err(FeedError::Unavailable(late)));
-            }
         }
     }
 }
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -260,4 +260,13 @@
         }
         .boxed()
     }
+
+    fn check(&self, after: u64) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
+        async move {
+            let watch = self.watch(after, Duration::from_millis(1));
+            let answer = timeout(WAIT, watch).await;
+            answer.unwrap_or_else(|_| Err(FeedError::Unavailable("no answer".to_owned())))
+        }
+        .boxed()
+    }
 }
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -15,7 +15,7 @@
 use serde::Serialize;
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{
@@ -23,6 +23,9 @@
     peers_address,
 };
 
+/// What the adapter waits for the answer to a check.
+const CHECK_WAIT: Duration = Duration::from_millis(600);
+
 /// Whether the store answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Answers {
@@ -271,6 +274,15 @@
         }
         .boxed()
     }
+
+    fn check(&self, after: u64) -> BoxFuture<'_, Result<Batch<RouteBook>, FeedError>> {
+        async move {
+            let watch = Feed::<RouteBook>::watch(self, after, Duration::from_millis(1));
+            let answer = timeout(CHECK_WAIT, watch).await;
+            answer.unwrap_or_else(|_| Err(FeedError::Unavailable("silent".to_owned())))
+        }
+        .boxed()
+    }
 }
 
 fn nothing<T>(stored: &Stored) -> Batch<T> {
@@ -342,6 +354,15 @@
         }
         .boxed()
     }
+
+    fn check(&self, after: u64) -> BoxFuture<'_, Result<Batch<LeafItem>, FeedError>> {
+        async move {
+            let watch = Feed::<LeafItem>::watch(self, after, Duration::from_millis(1));
+            let answer = timeout(CHECK_WAIT, watch).await;
+            answer.unwrap_or_else(|_| Err(FeedError::Unavailable("silent".to_owned())))
+        }
+        .boxed()
+    }
 }
 
 impl Adverts for FakeStore {
