--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -48,4 +48,4 @@
 pub use shelf::Shelf;
 pub use sources::FeedPeers;
 pub use spread::{Distance, Pull, Spread};
-pub use upstream::{Upstream, UpstreamChoice};
+pub use upstream::{Cause, Upstream, UpstreamChoice};
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -14,6 +14,8 @@
     registry::Registry,
 };
 
+use crate::Cause;
+
 /// Upper bound of the first latency bucket, in seconds.
 const BUCKET_FIRST: f64 = 0.002;
 /// Ratio of one bucket's bound to the one before.
@@ -36,6 +38,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct CauseLabels {
+    cause: String,
+}
+
 /// The metrics of one entry.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -50,6 +57,7 @@
     pub(crate) book: Gauge,
     behind: Gauge,
     readings: Family<KindLabels, Counter>,
+    moves: Family<CauseLabels, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) classes: Gauge,
 }
@@ -71,6 +79,7 @@
             book: Gauge::default(),
             behind: Gauge::default(),
             readings: Family::default(),
+            moves: Family::default(),
             in_flight: Gauge::default(),
             classes: Gauge::default(),
         };
@@ -96,6 +105,7 @@
         r.register("leafs", "Leafs that are known", self.leafs.clone());
         r.register("book_version", "Version in force", self.book.clone());
         let behind = "Milliseconds since a peer told of a newer version, 0 if none has";
+        r.register("upstream_moves", "Changes of upstream", self.moves.clone());
         r.register("book_behind_ms", behind, self.behind.clone());
         r.register(
             "readings",
@@ -131,6 +141,11 @@
             .set(span.map_or(0, |span| span.as_millis() as i64));
     }
 
+    pub(crate) fn count_move(&self, cause: Cause) {
+        let cause = format!("{cause:?}").to_lowercase();
+        self.moves.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     pub(crate) fn count_reading(&self, kind: &'static str) {
         self.readings.get_or_create(&KindLabels { kind }).inc();
     }
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -237,7 +237,9 @@
         new
     });
     if new {
-        info!(shared.host.log, "watch: follows {upstream:?}");
+        let cause = lock(&shared.upstreams).cause();
+        shared.metrics.count_move(cause);
+        info!(shared.host.log, "watch: hears from {upstream}"; "why" => %cause);
     }
     upstream
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -4,6 +4,7 @@
 
 use chestnut_fleet::{Liveness, Member};
 use chestnut_unit::{DomainName, Time};
+use displaydoc::Display;
 
 /// Entries of a failure domain, the strongest first, of which the others follow
 /// the first that answers. Only the first watches the store, as long as it
@@ -56,6 +57,30 @@
     Peer(SocketAddr),
 }
 
+/// Why an entry hears of changes from where it does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+pub enum Cause {
+    /// it starts and asks the seeds, or the store after them
+    #[default]
+    Starts,
+    /// it has started and stays with the peer that answered
+    Stays,
+    /// it watches the store for its failure domain
+    Watches,
+    /// the watcher of its failure domain is no use, and it is the second
+    TakesOver,
+    /// that is the first watcher that is of use
+    Follows,
+    /// the peer that it asked hears of changes from there
+    Sent,
+    /// the store did not answer it
+    Deaf,
+    /// the watchers have lost the store, and it waits for them
+    Waits,
+    /// no watcher is of use
+    Nobody,
+}
+
 impl fmt::Display for Upstream {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -93,6 +118,7 @@
     deaf: Option<Time>,
     /// When the store answered this entry last; none if it has failed to since.
     served: Option<Time>,
+    cause: Cause,
 }
 
 impl UpstreamChoice {
@@ -222,51 +248,73 @@
         self.lost.retain(|_, until| now < *until);
         self.deaf = self.deaf.filter(|until| now < *until);
         let ranked = Ranked::new(own, others);
+        let (upstream, cause) = self.decide(own, &ranked, seeds, age, now);
+        self.cause = cause;
+        upstream
+    }
+
+    /// Why the last choice fell as it did.
+    #[must_use]
+    pub fn cause(&self) -> Cause {
+        self.cause
+    }
+
+    fn decide(
+        &self,
+        own: &Member,
+        ranked: &Ranked,
+        seeds: &[SocketAddr],
+        age: Duration,
+        now: Time,
+    ) -> (Upstream, Cause) {
         let is_seed = seeds.contains(&own.addresses.peers);
         let watches = match age < SETTLE {
             true => is_seed,
             false => ranked.own == Some(0),
         };
         if watches && self.deaf.is_none() {
-            return Upstream::Store;
+            return (Upstream::Store, Cause::Watches);
         }
         let sent = self.sent.filter(|(_, until)| now < *until);
         let current = self.current.filter(|_| age < SETTLE);
-        let word = sent.map(|(peer, _)| peer).or(current);
-        if let Some(peer) = word.filter(|peer| self.is_usable(*peer)) {
-            return Upstream::Peer(peer);
+        let sent = sent.map(|(peer, _)| (peer, Cause::Sent));
+        let word = sent.or(current.map(|peer| (peer, Cause::Stays)));
+        if let Some((peer, cause)) = word.filter(|(peer, _)| self.is_usable(*peer)) {
+            return (Upstream::Peer(peer), cause);
         }
         let watchers = ranked.watchers();
         let alone = ranked.near.len() <= 1;
+        let nobody = (Upstream::Store, Cause::Nobody);
         match ranked.own {
             _ if self.deaf.is_some() => {
                 let own = own.addresses.peers;
                 let seeds: Vec<SocketAddr> = seeds.iter().copied().filter(|s| *s != own).collect();
-                let upstream = self.follow(&watchers).or_else(|| self.follow(&seeds));
-                upstream.unwrap_or(Upstream::Store)
+                let peer = self.follow(&watchers).or_else(|| self.follow(&seeds));
+                peer.map_or(nobody, |peer| (Upstream::Peer(peer), Cause::Deaf))
             }
-            _ if alone => self.seed(own, seeds, age),
-            Some(0) => Upstream::Store,
-            Some(1) if !self.is_usable(ranked.near[0]) => Upstream::Store,
+            _ if alone => (self.seed(own, seeds, age), Cause::Starts),
+            Some(0) => (Upstream::Store, Cause::Watches),
+            Some(1) if !self.is_usable(ranked.near[0]) => (Upstream::Store, Cause::TakesOver),
             _ => {
-                let upstream = self.follow(&watchers).or_else(|| self.wait(&watchers));
-                upstream.unwrap_or(Upstream::Store)
+                let follows = self.follow(&watchers).map(|peer| (peer, Cause::Follows));
+                let waits = || self.wait(&watchers).map(|peer| (peer, Cause::Waits));
+                let word = follows.or_else(waits);
+                word.map_or(nobody, |(peer, cause)| (Upstream::Peer(peer), cause))
             }
         }
     }
 
     /// The first of `watchers` that may be followed.
-    fn follow(&self, watchers: &[SocketAddr]) -> Option<Upstream> {
+    fn follow(&self, watchers: &[SocketAddr]) -> Option<SocketAddr> {
         let peer = watchers.iter().find(|peer| self.is_usable(**peer));
-        peer.map(|peer| Upstream::Peer(*peer))
+        peer.copied()
     }
 
     /// One of `watchers` that has lost the store, if enough have.
-    fn wait(&self, watchers: &[SocketAddr]) -> Option<Upstream> {
-        let lost = watchers.iter().filter(|peer| self.is_lost(**peer));
+    fn wait(&self, watchers: &[SocketAddr]) -> Option<SocketAddr> {
+        let mut lost = watchers.iter().filter(|peer| self.is_lost(**peer));
         let enough = lost.clone().count() >= LOST_QUORUM;
-        let first = lost.map(|peer| Upstream::Peer(*peer)).next();
-        first.filter(|_| enough)
+        lost.next().copied().filter(|_| enough)
     }
 
     /// Before any member is known.
