--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -32,6 +32,10 @@
 /// Rest after an answer that is older than what is known, from a peer that has
 /// heard less.
 const OLD_REST: Duration = Duration::from_millis(100);
+/// How long a call for the book goes on once the entry hears from elsewhere. A book of a
+/// megabyte is read within it at 14 Mbit/s; a call that only waits would bring a whole
+/// book with the next change that the new upstream passes on in a few hundred bytes.
+const LINGER: Duration = Duration::from_secs(1);
 /// Pause between an answer of a watch and the next one. Changes mostly come
 /// several at a time, and each call is paid for; a leaf that leaves serves for
 /// some seconds more, so a third of a second is in time.
@@ -42,8 +46,9 @@
 enum Calls {
     /// It is given up: the news of one that is no upstream any more may be old.
     GivenUp,
-    /// It goes on unless its source has fallen silent: a book is newer than the own one
-    /// or is passed over, from wherever it comes, and may have been read in part.
+    /// It goes on for [`LINGER`] unless its source has fallen silent: a book is newer than
+    /// the own one or is passed over, from wherever it comes, and may have been read in
+    /// part.
     GoOn,
 }
 
@@ -234,14 +239,16 @@
 
 /// Waits until a call to `from` is to be given up.
 async fn moved(shared: &Shared, from: Upstream, calls: Calls) {
-    let mut upstreams = shared.upstream.subscribe();
     let mut pulses = shared.pulse.subscribe();
-    let over = |upstream: &Upstream| {
-        *upstream != from && (calls == Calls::GivenUp || lock(&shared.upstreams).is_deaf())
+    let over = async {
+        replaced(shared, from).await;
+        if calls == Calls::GoOn && !lock(&shared.upstreams).is_deaf() {
+            sleep(LINGER).await;
+        }
     };
     tokio::select! {
+        () = over => {}
         // An error means that the entry ends.
-        _ = upstreams.wait_for(over) => {}
         _ = pulses.wait_for(Pulse::is_lost) => {}
     }
 }
--- a/crates/relay/tests/large_book.rs
+++ b/crates/relay/tests/large_book.rs
@@ -8,8 +8,9 @@
 use chestnut_relay::{Relay, Reply};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 use tokio::time::sleep;
-use world::{Stage, ask, book, name, peers_address, rule};
+use world::{Answers, Stage, ask, book, name, peers_address, rule};
 
 const ENTRIES: u16 = 24;
 const DOMAINS: u16 = 3;
@@ -87,3 +88,57 @@
     sleep(IN_FORCE).await;
     assert_eq!(entries_with(&relays, 3).await, relays.len());
 }
+
+/// What becomes of the store once the first entry has the version.
+#[derive(Clone, Copy, Debug)]
+enum Store {
+    /// It falls silent.
+    Gone,
+    /// It turns away every entry but one.
+    TurnsAway,
+    /// Calls of every entry but one vanish.
+    Parted,
+}
+
+/// Most entries refuse a route that one of them serves, and one that starts refuses all.
+/// Only one entry could read the version before the store was lost to the others, and it
+/// passed nothing on as it had lost the store too, or followed another one.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_version_that_one_entry_has_reaches_all_without_the_store(
+    #[values(Store::Gone, Store::TurnsAway, Store::Parted)] store: Store,
+) {
+    let (stage, mut relays) = start().await;
+    let others = (2..=ENTRIES + 1).collect();
+    match store {
+        Store::Gone => {}
+        Store::TurnsAway => stage.store.bar(others),
+        Store::Parted => stage.store.part(others),
+    }
+    stage.store.put_book(large(2));
+    sleep(Duration::from_millis(100)).await;
+    if matches!(store, Store::Gone) {
+        stage.store.answers(Answers::Never);
+    }
+    sleep(Duration::from_millis(400)).await;
+    relays.push(stage.spawn(ENTRIES + 1).await);
+    sleep(IN_FORCE).await;
+    assert_eq!(entries_with(&relays, 2).await, relays.len());
+}
+
+/// The operator changes one route, and the links between entries carry a book for each
+/// of them, which is paid for.
+/// 24 entries, 23 of which don't watch the store or read it as one of three: 5 MB before
+/// for one route of a thousand.
+#[tokio::test(start_paused = true)]
+async fn a_small_change_of_a_large_book_weighs_little() {
+    let (stage, relays) = start().await;
+    stage.store.put_book(large(2));
+    sleep(IN_FORCE).await;
+    let carried = stage.feeds.1.carried();
+    stage.store.put_book(large(3));
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(entries_with(&relays, 3).await, relays.len());
+    let each = (stage.feeds.1.carried() - carried) / relays.len();
+    assert!(each < 2_000, "{each} bytes an entry");
+}
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -141,19 +141,22 @@
 }
 
 impl LinkTable {
+    /// Puts bytes into the queues of both links; a slow receiver keeps the sender from
+    /// nobody else. Returns when they have passed both.
     fn send(&mut self, from: Option<SocketAddr>, to: SocketAddr, bytes: usize) -> Instant {
-        let ends = [from.map(|from| (from, Way::Out)), Some((to, Way::In))];
-        let ends = ends.into_iter().flatten();
-        let ends: Vec<_> = ends
-            .filter(|(end, _)| self.rates.contains_key(end))
-            .collect();
         let now = Instant::now();
-        let begins = ends.iter().filter_map(|end| self.free.get(end)).copied();
-        let begins = begins.max().unwrap_or(now).max(now);
-        let slowest = ends.iter().map(|(entry, _)| self.rates[entry]).min();
-        let takes = |rate| Duration::from_secs_f64(bytes as f64 / f64::from(rate));
-        let arrived = begins + slowest.map_or(Duration::ZERO, takes);
-        self.free.extend(ends.into_iter().map(|end| (end, arrived)));
+        let ends = [from.map(|from| (from, Way::Out)), Some((to, Way::In))];
+        let (mut begins, mut arrived) = (now, now);
+        for end in ends.into_iter().flatten() {
+            let Some(rate) = self.rates.get(&end.0) else {
+                continue;
+            };
+            let first = self.free.get(&end).copied().unwrap_or(now).max(now);
+            let last = first + Duration::from_secs_f64(bytes as f64 / f64::from(*rate));
+            self.free.insert(end, last);
+            begins = begins.max(first);
+            arrived = arrived.max(last);
+        }
         if let Some(from) = from {
             let flows = self.flows.entry((from, to)).or_default();
             flows.retain(|(_, end)| *end + WAIT > now);
