--- a/crates/port/src/pack.rs
+++ b/crates/port/src/pack.rs
@@ -24,8 +24,9 @@
 
 /// Packs a value.
 ///
-/// The fastest level: a book of 4,251 routes takes a tenth of its bytes, and a higher
-/// level would cost more time on an entry of 0.12 cores than it saves on its link.
+/// A book of 2,851 routes travels in 43 KB instead of 560 KB, and 1,400 routes more in 21
+/// KB, as logged by entries on a recorded deployment. The fastest level, as entries of
+/// 0.12 cores pack too.
 ///
 /// # Errors
 ///
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod plan;
 mod pull;
 mod pulse;
+mod ranked;
 mod relay;
 mod settings;
 mod shared;
@@ -32,6 +33,7 @@
 mod source;
 mod sources;
 mod spread;
+mod take;
 mod upstream;
 mod watch;
 
--- a/crates/relay/src/pull.rs
+++ b/crates/relay/src/pull.rs
@@ -11,7 +11,7 @@
 use slog::{debug, info};
 use tokio::time::sleep_until;
 
-use crate::{Pull, Upstream, shared::Shared, sources::Sources, watch::serve_if_ready};
+use crate::{Pull, Upstream, shared::Shared, sources::Sources, take::serve_if_ready};
 
 /// Reads what peers have that is newer, for as long as the entry runs. A reading goes
 /// on whatever becomes of the upstream.
--- /dev/null
+++ b/crates/relay/src/take.rs
@@ -0,0 +1,160 @@
+//! Takes what the feeds tell.
+
+use std::time::Duration;
+
+use chestnut_book::RouteBook;
+use chestnut_flow::lock;
+use chestnut_port::{Batch, Content, Item};
+use chestnut_unit::{LeafId, Time};
+use slog::{info, warn};
+use tokio::time::sleep_until;
+
+use crate::{
+    leafs::{LeafEntry, Leafs, Moved},
+    moves::take_moves,
+    shared::{Phase, Shared},
+    upstream::Upstream,
+};
+
+/// Takes an answer of the feed, to pass it on and to act by it.
+pub(crate) fn pass_leafs(shared: &Shared, batch: Batch<(LeafId, LeafEntry)>, whole: bool) {
+    lock(&shared.passed.leafs).take(&batch, whole);
+    take_leafs(shared, batch, whole);
+}
+
+fn take_leafs(shared: &Shared, batch: Batch<(LeafId, LeafEntry)>, whole: bool) {
+    let now = shared.now();
+    let mut moves = Vec::new();
+    {
+        let mut state = lock(&shared.cell.state);
+        let leafs = &mut state.extra.leafs;
+        if whole {
+            take_list(leafs, batch.items, now, &mut moves);
+        } else {
+            for item in batch.items {
+                take_leaf(leafs, item, now, &mut moves);
+            }
+        }
+        let known = leafs.len();
+        shared.metrics.leafs.set(known as i64);
+        take_moves(&mut state, &moves, &shared.settings, now);
+    }
+    tell_moves(shared, &moves, batch.revision);
+    serve_if_ready(shared);
+}
+
+fn take_list(
+    leafs: &mut Leafs,
+    items: Vec<Item<(LeafId, LeafEntry)>>,
+    now: Time,
+    moves: &mut Vec<Moved>,
+) {
+    let mut list = Vec::new();
+    for item in items {
+        match item.content {
+            Content::Is(leaf) => list.push(leaf),
+            Content::Deleted | Content::Malformed => take_leaf(leafs, item, now, moves),
+        }
+    }
+    leafs.listed(list, now, moves);
+}
+
+fn take_leaf(
+    leafs: &mut Leafs,
+    item: Item<(LeafId, LeafEntry)>,
+    now: Time,
+    moves: &mut Vec<Moved>,
+) {
+    match (item.content, LeafId::new(&item.name)) {
+        (Content::Is((id, entry)), _) => leafs.changed(id, entry, now, moves),
+        (Content::Deleted, Ok(id)) => leafs.deleted(&id, now, moves),
+        (Content::Malformed, Ok(id)) => leafs.malformed(&id, moves),
+        // No leaf can have been taken under a name that is none.
+        (Content::Deleted | Content::Malformed, Err(_)) => {}
+    }
+}
+
+/// Gives up missing leafs in time.
+pub(crate) async fn lapses(shared: &Shared) {
+    /// Time between two looks while no leaf is missing, or the store is lost.
+    const LOOK: Duration = Duration::from_millis(500);
+    loop {
+        let now = shared.now();
+        let wake = lock(&shared.cell.state).extra.leafs.wake();
+        // An entry that has lost the store can't see lapsed entries come back.
+        let lost = shared.pulse.borrow().is_lost();
+        if lost || wake > now {
+            let wake = if lost {
+                now + LOOK
+            } else {
+                wake.min(now + LOOK)
+            };
+            sleep_until(shared.host.clock.instant(wake)).await;
+            continue;
+        }
+        let mut moves = Vec::new();
+        {
+            let mut state = lock(&shared.cell.state);
+            state.extra.leafs.tick(now, &mut moves);
+            take_moves(&mut state, &moves, &shared.settings, now);
+        }
+        tell_moves(shared, &moves, 0);
+    }
+}
+
+fn tell_moves(shared: &Shared, moves: &[Moved], revision: u64) {
+    for moved in moves {
+        let (word, id) = match moved {
+            Moved::Came(id, _) => ("takes work", id),
+            Moved::Reborn(id, _) => ("has started again", id),
+            Moved::Outdated(id) => ("has started again since, an old entry is passed over", id),
+            Moved::Leaves(id) => ("is leaving", id),
+            Moved::Closed(id) => ("takes no more work", id),
+            Moved::Missing(id) => ("is missing", id),
+            Moved::Gone(id) => ("is gone", id),
+        };
+        if let Moved::Gone(id) | Moved::Reborn(id, _) = moved {
+            shared.forward.forget(id);
+        }
+        info!(shared.host.log, "hold: leaf {id} {word}"; "revision" => revision);
+    }
+}
+
+/// Takes books that the store told of.
+pub(crate) fn take_book(shared: &Shared, batch: Batch<RouteBook>) {
+    for item in batch.items {
+        let book = match item.content {
+            Content::Is(book) => book,
+            Content::Deleted | Content::Malformed => {
+                warn!(
+                    shared.host.log,
+                    "watch: the book was deleted or can't be read, the last one stays in force"
+                );
+                continue;
+            }
+        };
+        shared.take_book(book, Upstream::Store);
+    }
+    serve_if_ready(shared);
+}
+
+/// Lets the entry serve once it knows the book and the leafs.
+pub(crate) fn serve_if_ready(shared: &Shared) {
+    let known = {
+        let state = lock(&shared.cell.state);
+        state.extra.book.is_some() && !state.extra.leafs.is_empty()
+    };
+    let serves = known
+        && shared.phase.send_if_modified(|phase| {
+            let starting = *phase == Phase::Starting;
+            if starting {
+                *phase = Phase::Serving;
+            }
+            starting
+        });
+    if serves {
+        let after = shared.now().since(Time::ZERO);
+        info!(shared.host.log, "fleet: {} serves", shared.settings.entry.member;
+            "after_ms" => after.as_millis() as u64);
+    }
+}
