--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -155,7 +155,8 @@
         if known.is_some_and(|known| known >= version) {
             return false;
         }
-        let rules = keep_rules(&mut state.extra, &book);
+        keep_rules(&mut state.extra, &book);
+        let rules = book.rules().count();
         let book = Arc::new(book);
         state.extra.book = Some(book.clone());
         set_bounds(&mut state);
@@ -198,8 +199,8 @@
 }
 
 /// Keeps what is known of the rules that `book` names, and frees the classes of the
-/// others. Returns how many it names.
-fn keep_rules(ground: &mut Ground, book: &RouteBook) -> usize {
+/// others.
+fn keep_rules(ground: &mut Ground, book: &RouteBook) {
     let named: BTreeSet<&String> = book.rules().map(|rule| &rule.name).collect();
     ground.rules.retain(|name, kept| {
         let stays = named.contains(name);
@@ -208,5 +209,4 @@
         }
         stays
     });
-    named.len()
 }
