Ask a near peer for the book as soon as it tells, also after a far one; names

Entries that heard of a version from another domain first rested 100 ms though a near peer had told meanwhile. The last versions of the book are its History; peers that are ahead no longer share a name with holders of leafs.

--- a/crates/relay/src/shelf.rs
+++ b/crates/relay/src/history.rs
@@ -19,7 +19,7 @@
 
 /// The last versions of the book.
 #[derive(Debug, Default)]
-pub struct Shelf {
+pub struct History {
     /// Oldest first.
     books: VecDeque<Arc<RouteBook>>,
     /// Deltas to the newest one, by the version that they change; 0 for nothing. Packing
@@ -27,7 +27,7 @@
     packed: BTreeMap<BookVersion, Bytes>,
 }
 
-impl Shelf {
+impl History {
     /// Takes a version that is newer than the others.
     pub fn put(&mut self, book: Arc<RouteBook>) {
         self.packed.clear();
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -15,11 +15,11 @@
 use slog::debug;
 use tokio::{sync::watch, time::timeout};
 
-use crate::{LeafEntry, Mirror, Upstream, shared::Shared, shelf::Shelf, sources::LEAFS};
+use crate::{LeafEntry, Mirror, Upstream, history::History, shared::Shared, sources::LEAFS};
 
 /// What is passed on.
 pub(crate) struct Passed {
-    pub(crate) books: Mutex<Shelf>,
+    pub(crate) books: Mutex<History>,
     pub(crate) leafs: Mutex<Mirror<(LeafId, LeafEntry)>>,
     /// Raised with every answer of a feed.
     pub(crate) told: watch::Sender<u64>,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -133,10 +133,15 @@
         let now = self.now();
         let mut spread = lock(&self.spread);
         let news = spread.told(peer, version, from, now);
-        self.metrics.set_behind(spread.behind(now));
+        let behind = spread.behind(now);
+        self.metrics.set_behind(behind);
         drop(spread);
         if news {
             info!(self.host.log, "watch: a peer has a newer book"; "peer" => %peer, "book" => %version);
+        }
+        // Also if the version is no news: a near peer that has it is asked at once, and
+        // before it a far one may have told of it.
+        if behind.is_some() {
             self.newer.notify_one();
         }
     }
--- a/crates/relay/src/spread.rs
+++ b/crates/relay/src/spread.rs
@@ -7,7 +7,7 @@
 
 /// Peers of which it is kept that they have a newer book. Past it the others are
 /// passed over: one is enough to read from, and each tells again with its next probe.
-const HOLDERS_MAX: usize = 64;
+const AHEAD_MAX: usize = 64;
 /// How long peers of the own failure domain are waited for before one of another domain
 /// is asked. They mostly have the version some milliseconds later, and bytes between
 /// domains are paid for.
@@ -43,7 +43,7 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Holder {
+struct Ahead {
     version: BookVersion,
     distance: Distance,
     /// From when on it may be asked.
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     own: BookVersion,
-    holders: BTreeMap<SocketAddr, Holder>,
+    ahead: BTreeMap<SocketAddr, Ahead>,
     /// Peers that are being read from, and since when.
     readings: BTreeMap<SocketAddr, Time>,
     /// Since when a newer version than the own one is known of.
@@ -91,17 +91,17 @@
             Distance::Near => Duration::ZERO,
             Distance::Far => FAR_REST,
         };
-        let room = self.holders.len() < HOLDERS_MAX;
-        if let Some(holder) = self.holders.get_mut(&peer) {
-            holder.version = version;
+        let room = self.ahead.len() < AHEAD_MAX;
+        if let Some(ahead) = self.ahead.get_mut(&peer) {
+            ahead.version = version;
         } else if room {
             let from = now + rest;
-            let holder = Holder {
+            let ahead = Ahead {
                 version,
                 distance,
                 from,
             };
-            self.holders.insert(peer, holder);
+            self.ahead.insert(peer, ahead);
         }
         self.since.get_or_insert(now);
         news
@@ -111,9 +111,9 @@
     /// been known of.
     pub fn taken(&mut self, version: BookVersion, now: Time) -> Option<Duration> {
         self.own = self.own.max(version);
-        self.holders.retain(|_, holder| holder.version > version);
+        self.ahead.retain(|_, ahead| ahead.version > version);
         let since = self.since?;
-        if self.holders.is_empty() {
+        if self.ahead.is_empty() {
             self.since = None;
         }
         Some(now.since(since))
@@ -121,16 +121,16 @@
 
     /// Takes it that `peer` has no newer version after all.
     pub fn lacks(&mut self, peer: SocketAddr) {
-        self.holders.remove(&peer);
-        if self.holders.is_empty() {
+        self.ahead.remove(&peer);
+        if self.ahead.is_empty() {
             self.since = None;
         }
     }
 
     /// Takes it that `peer` did not pass on what it told of.
     pub fn failed(&mut self, peer: SocketAddr, now: Time) {
-        if let Some(holder) = self.holders.get_mut(&peer) {
-            holder.from = now + BAD_SPAN;
+        if let Some(ahead) = self.ahead.get_mut(&peer) {
+            ahead.from = now + BAD_SPAN;
         }
     }
 
@@ -152,7 +152,7 @@
         if self.readings.len() >= READINGS {
             return Pull::Nothing;
         }
-        let others = self.holders.iter();
+        let others = self.ahead.iter();
         let others = others.filter(|(peer, _)| !self.readings.contains_key(peer));
         if let Some(slow) = slow.filter(|slow| now < *slow) {
             return match others.count() {
@@ -160,15 +160,15 @@
                 _ => Pull::Rest(slow),
             };
         }
-        let ready = others.clone().filter(|(_, holder)| holder.from <= now);
-        let rank = |holder: &Holder| (holder.distance, std::cmp::Reverse(holder.version));
-        let best = ready.clone().map(|(_, holder)| rank(holder)).min();
+        let ready = others.clone().filter(|(_, ahead)| ahead.from <= now);
+        let rank = |ahead: &Ahead| (ahead.distance, std::cmp::Reverse(ahead.version));
+        let best = ready.clone().map(|(_, ahead)| rank(ahead)).min();
         let Some(best) = best else {
-            let soonest = others.map(|(_, holder)| holder.from).min();
+            let soonest = others.map(|(_, ahead)| ahead.from).min();
             return soonest.map_or(Pull::Nothing, Pull::Rest);
         };
         let equal: Vec<&SocketAddr> = ready
-            .filter(|(_, holder)| rank(holder) == best)
+            .filter(|(_, ahead)| rank(ahead) == best)
             .map(|(peer, _)| peer)
             .collect();
         let at = (draw % equal.len() as u64) as usize;
@@ -178,7 +178,7 @@
     /// The newest version that a peer told of, if it is newer than the own one.
     #[must_use]
     pub fn newest(&self) -> Option<BookVersion> {
-        self.holders.values().map(|holder| holder.version).max()
+        self.ahead.values().map(|ahead| ahead.version).max()
     }
 
     /// For how long a newer version has been known of.
--- a/crates/relay/tests/spread.rs
+++ b/crates/relay/tests/spread.rs
@@ -4,7 +4,7 @@
 
 use chestnut_book::{BookDelta, BookVersion, CallerLimits, Kind, RouteBook, Rule, Target};
 use chestnut_port::unpack;
-use chestnut_relay::{Distance, Pull, Shelf, Spread};
+use chestnut_relay::{Distance, History, Pull, Spread};
 use chestnut_unit::{ServiceName, Time};
 
 const NOW: Time = Time::ZERO;
@@ -147,13 +147,13 @@
 /// gets nothing older.
 #[test]
 fn what_is_told_makes_the_newest_version_of_any_other() {
-    let mut shelf = Shelf::default();
-    assert!(shelf.since(BookVersion(0)).unwrap().delta.is_empty());
+    let mut history = History::default();
+    assert!(history.since(BookVersion(0)).unwrap().delta.is_empty());
     for number in [2, 4, 6, 8, 10] {
-        shelf.put(version(number));
+        history.put(version(number));
     }
     for (have, rules) in [(0, 10), (2, 10), (4, 6), (5, 10), (8, 2)] {
-        let raw = shelf.since(BookVersion(have)).unwrap();
+        let raw = history.since(BookVersion(have)).unwrap();
         assert_eq!(raw.version, BookVersion(10));
         let delta: BookDelta = unpack(&raw.delta).unwrap();
         assert_eq!(delta.rules(), rules, "since {have}");
@@ -161,6 +161,6 @@
         assert!(made.rules().eq(version(10).rules()), "since {have}");
     }
     for have in [10, 11] {
-        assert!(shelf.since(BookVersion(have)).unwrap().delta.is_empty());
+        assert!(history.since(BookVersion(have)).unwrap().delta.is_empty());
     }
 }
