--- a/crates/relay/tests/budget_model.rs
+++ b/crates/relay/tests/budget_model.rs
@@ -7,6 +7,7 @@
 use chestnut_unit::{Share, Time};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
 
 const STEP: Duration = Duration::from_millis(100);
 const STEPS: usize = 1200;
@@ -136,6 +137,53 @@
     }
 }
 
+/// A service gets more extra calls than its users allow.
+/// Entries alike carry callers, with few requests for each shard, and don't see the same
+/// members: each takes from nine tenths of them to all for those that share. Where the part
+/// of each is a call or more, one whole may be saved up; below, what first calls earn.
+#[rstest]
+#[case::few_entries(17, 33.0, 5.0)]
+#[case::a_call_each(300, 630.0, 60.0)]
+#[case::less_than_a_call_each(1_000, 630.0, 200.0)]
+#[case::thousands(2_904, 630.0, 4_000.0)]
+fn alike_entries_keep_to_the_bound(#[case] count: usize, #[case] slack: f64, #[case] rate: f64) {
+    const SECONDS: usize = 60;
+    const SPAN: usize = 10;
+    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let extra = ExtraCalls {
+        part: PART,
+        slack,
+        window: WINDOW,
+    };
+    let seen = |rng: &mut ChaCha8Rng| rng.random_range(count * 9 / 10..=count);
+    let mut budgets: Vec<Budget> = (0..count)
+        .map(|_| Budget::empty(Share::from_permille(200), 1))
+        .collect();
+    let (mut first, mut made) = (vec![0u32; SECONDS], vec![0u32; SECONDS]);
+    for second in 0..SECONDS {
+        for budget in &mut budgets {
+            let slack = allotment(seen(&mut rng)).slack(&extra);
+            budget.set_slack(slack, WINDOW);
+            budget.pass(Time::ZERO + Duration::from_secs(second as u64));
+            let calls = rate / count as f64;
+            let calls = calls as usize + usize::from(rng.random_bool(calls.fract()));
+            budget.earn(calls);
+            first[second] += calls as u32;
+            // All is spent at once now and then, after it was saved for a while.
+            while second % 15 > 9 && budget.spend() {
+                made[second] += 1;
+            }
+        }
+    }
+    let sum = |of: &[u32], from: usize| f64::from(of[from..from + SPAN].iter().sum::<u32>());
+    for from in SPAN..SECONDS - SPAN {
+        let calls = sum(&first, from).max(sum(&first, from - SPAN));
+        // Nine tenths of the members are seen at the least.
+        let most = PART * calls + slack / 0.9;
+        assert!(sum(&made, from) <= most, "{} of {most}", sum(&made, from));
+    }
+}
+
 /// A service gets more extra calls than its users allow.
 /// Each entry keeps to its part of a bound that all share, by what it knows of
 /// the others: entries come, go and start again all at once, and each hears of it
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -39,6 +39,7 @@
 mod gauge;
 mod handicap;
 mod hedge;
+mod kept;
 mod limit;
 mod orglimit;
 mod pool;
@@ -53,7 +54,7 @@
 pub use admit::{Adapt, Admission, AdmitConfig, Decision, Order, Release, Yields};
 pub use attempt::{Attempt, Ended, Fate, NotRun, Planned, Queued, Sent};
 pub use backend::{Backend, Guard, Ix, TableConfig};
-pub use budget::Budget;
+pub use budget::{Budget, Tally};
 pub use choose::{Choice, choose_replica};
 pub use damped::Damped;
 pub use estimate::{Estimate, Quantiles};
@@ -64,7 +65,7 @@
 pub use orglimit::{OrgGate, OrgGates};
 pub use pool::{ConnId, PATIENCE, Pick, Pool};
 pub use profile::{Class, Profile};
-pub use purse::{Purse, PurseId};
+pub use purse::{Paid, Purse, PurseId};
 pub use query::{
     Action, CallId, CallKind, Context, End, Give, Prospect, Query, QueryConfig, Repeat,
 };
--- a/crates/route/src/purse.rs
+++ b/crates/route/src/purse.rs
@@ -2,7 +2,7 @@
 
 use chestnut_unit::{Share, Time};
 
-use crate::{Budget, CallKind};
+use crate::{Budget, CallKind, Tally};
 
 /// Number of a budget in its table. The first one is the table's own.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -17,6 +17,26 @@
 /// of it, hedges for the last missing shard are withheld on calm days.
 const SPENT_FREELY: f64 = 0.25;
 
+/// What a budget says to a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Paid {
+    /// It is paid for.
+    Yes,
+    /// Too little is left.
+    Unpaid,
+    /// It adds too little to its answer for what is left.
+    Spared,
+}
+
+impl Paid {
+    fn if_enough(enough: bool) -> Self {
+        match enough {
+            true => Self::Yes,
+            false => Self::Unpaid,
+        }
+    }
+}
+
 /// The budgets that the extra calls to some shards are paid from.
 #[derive(Clone, Debug)]
 pub enum Purse {
@@ -63,18 +83,31 @@
 
     /// Pays for a call that adds `gain` to its answer, from 0 to 1, if there is
     /// enough. The less of a joint budget is left, the more a call must add.
-    #[must_use]
-    pub fn spend(&mut self, kind: CallKind, gain: f64) -> bool {
+    pub fn spend(&mut self, kind: CallKind, gain: f64) -> Paid {
         match (self, kind) {
-            (_, CallKind::First) => true,
+            (_, CallKind::First) => Paid::Yes,
             (Self::Joint(budget), _) => {
                 let least = 1.0 - budget.part_left() / (1.0 - SPENT_FREELY);
-                gain >= least && budget.spend()
+                match gain >= least {
+                    true => Paid::if_enough(budget.spend()),
+                    false => Paid::Spared,
+                }
             }
-            (Self::Split { .. }, CallKind::Reroute) => true,
-            (Self::Split { hedges, .. }, CallKind::Hedge) => hedges.spend(),
-            (Self::Split { retries, .. }, CallKind::Retry) => retries.spend(),
-            (Self::Split { retries, .. }, CallKind::Reshed) => retries.spend_part(SHED_COST),
+            (Self::Split { .. }, CallKind::Reroute) => Paid::Yes,
+            (Self::Split { hedges, .. }, CallKind::Hedge) => Paid::if_enough(hedges.spend()),
+            (Self::Split { retries, .. }, CallKind::Retry) => Paid::if_enough(retries.spend()),
+            (Self::Split { retries, .. }, CallKind::Reshed) => {
+                Paid::if_enough(retries.spend_part(SHED_COST))
+            }
+        }
+    }
+
+    /// What became of it so far, hedges and retries together.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        match self {
+            Self::Split { hedges, retries } => hedges.tally() + retries.tally(),
+            Self::Joint(budget) => budget.tally(),
         }
     }
 }
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -7,7 +7,7 @@
 use super::{
     Action, Call, CallId, CallKind, Context, HOP, Life, Query, Repeat, Shard, wait::ROUNDS,
 };
-use crate::{Attempt, Failure, Hedge, Ix, Refusal, choose::choose_replica};
+use crate::{Attempt, Failure, Hedge, Ix, Paid, Refusal, choose::choose_replica};
 
 /// Time after which late shards that could not be hedged are looked at again.
 const LOOK_AGAIN: Duration = Duration::from_millis(2);
@@ -127,13 +127,16 @@
             purse.earn(1);
         }
         let paid = purse.spend(kind, gain);
-        match kind {
-            CallKind::Hedge if paid => cx.table.gauge.hedges += 1,
-            CallKind::Retry | CallKind::Reshed if paid => cx.table.gauge.retries += 1,
-            _ => {}
+        let gauge = &mut cx.table.gauge;
+        match (paid, kind) {
+            (Paid::Yes, CallKind::Hedge) => gauge.hedges += 1,
+            (Paid::Yes, CallKind::Retry | CallKind::Reshed) => gauge.retries += 1,
+            (Paid::Yes, CallKind::First | CallKind::Reroute) => {}
+            (Paid::Unpaid, _) => gauge.unpaid += 1,
+            (Paid::Spared, _) => gauge.spared += 1,
         }
-        self.withheld += u32::from(!paid);
-        paid
+        self.withheld += u32::from(paid != Paid::Yes);
+        paid == Paid::Yes
     }
 
     pub(super) fn choose_for(
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,11 +1,11 @@
 //! What an entry knows of the back ends of one service.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::Add, time::Duration};
 
 use chestnut_unit::{IndexVersion, Time};
 
 use crate::{
-    Class, Damped, Estimate, Gauge, Profile, Purse, PurseId, Window,
+    Class, Damped, Estimate, Gauge, Profile, Purse, PurseId, Tally, Window,
     backend::{Backend, Guard, Ix, TableConfig},
     failure::{Failure, Refusal},
     faults::{Faults, Verdict},
@@ -252,6 +252,13 @@
         &mut self.purses[id.0 as usize]
     }
 
+    /// What became of all budgets so far.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        let tallies = self.purses.iter().map(Purse::tally);
+        tallies.fold(Tally::default(), Tally::add)
+    }
+
     /// Durations of recent calls of a class.
     #[must_use]
     pub fn profile(&self, class: Class) -> &Profile {
