--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -96,6 +96,8 @@
     calls: usize,
     /// Times that no budget paid for an extra call.
     withheld: u32,
+    /// Whether the answer was ended for its caller to have it in time.
+    ended: bool,
     /// Time that the answer had to come by the goal, the caller's way taken off; none
     /// if the caller was late already.
     ahead: Option<Duration>,
@@ -115,6 +117,7 @@
         version: 0,
         calls: 0,
         withheld: 0,
+        ended: false,
         ahead: None,
         coverage: None,
         in_vain: String::new(),
@@ -123,7 +126,12 @@
     let reply = decide(shared, &ask, start, &mut account)
         .await
         .unwrap_or_else(Reply::Declined);
-    tell(shared, &ask, &account, &reply, shared.now().since(start));
+    let span = shared.now().since(start);
+    if let (true, Some(ahead)) = (account.ended, account.ahead) {
+        let late = span.saturating_sub(ahead);
+        lock(&shared.cell.state).extra.callers.went_out(late);
+    }
+    tell(shared, &ask, &account, &reply, span);
     reply
 }
 
@@ -178,6 +186,7 @@
     };
     let forwarded = forwarded(shared, &rule, ask);
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
+    account.ended = query.end() == Some(End::Partial(Give::Enough));
     account.calls = query.calls();
     account.withheld = query.withheld();
     account.coverage = Some(query.coverage());
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -142,6 +142,14 @@
         self.known.is_empty()
     }
 
+    /// Service and failure domain of each leaf that takes work.
+    pub fn places(&self) -> impl Iterator<Item = (&ServiceName, &DomainName)> {
+        let ready = self.known.values().map(|known| &known.entry);
+        ready
+            .filter(|entry| entry.state == LeafState::Ready)
+            .map(|entry| (&entry.service, &entry.domain))
+    }
+
     /// The leafs of a service that are not leaving.
     pub fn of<'a>(
         &'a self,
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -84,8 +84,10 @@
     let Some(kept) = ground.rules.get_mut(&rule.name) else {
         return (rule.goal, Prospect::InTime);
     };
-    let away = ground.callers.away(&mut kept.longest, left, now);
-    let ahead = rule.goal.saturating_sub(away);
+    let away = ground
+        .callers
+        .away(&mut kept.longest, left, rule.timeout, now);
+    let ahead = rule.goal.saturating_sub(away + ground.link_time(rule));
     match ahead > usual {
         true => (ahead, Prospect::InTime),
         false => (rule.goal, Prospect::Late),
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,7 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_flow::{Cell, Host, lock};
-use chestnut_port::Forward;
+use chestnut_port::{Distance, Forward, Traffic};
 use chestnut_route::{Choice, Class, Table, TableConfig};
 use chestnut_unit::{RequestId, ServiceName, Time};
 use slog::info;
@@ -20,12 +20,12 @@
 
 use crate::{
     allot::Allotment,
-    ground::{Ground, gate, set_bounds, set_budgets},
+    ground::{Ground, Homes, gate, set_bounds, set_budgets},
     metrics::Metrics,
     pass::Passed,
     pulse::Pulse,
     settings::{ExtraCalls, RelaySettings, Times},
-    spread::{Distance, Spread},
+    spread::Spread,
     upstream::{Upstream, UpstreamChoice},
 };
 
@@ -52,6 +52,7 @@
     pub(crate) cell: Arc<Cell<Ground>>,
     pub(crate) forward: Arc<dyn Forward>,
     pub(crate) metrics: Metrics,
+    pub(crate) traffic: Arc<Traffic>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) pulse: watch::Sender<Pulse>,
     /// None while the entry asks peers of which none has answered.
@@ -74,7 +75,12 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: RelaySettings, host: Host, forward: Arc<dyn Forward>) -> Self {
+    pub(crate) fn new(
+        settings: RelaySettings,
+        host: Host,
+        forward: Arc<dyn Forward>,
+        traffic: Arc<Traffic>,
+    ) -> Self {
         let config = TableConfig {
             choice: Choice::Predicted,
             stall: PAUSE,
@@ -89,6 +95,7 @@
             cell: Arc::new(cell),
             forward,
             metrics: Metrics::new(),
+            traffic,
             phase: watch::Sender::new(Phase::Starting),
             pulse: watch::Sender::new(Pulse::default()),
             upstream: watch::Sender::new(None),
@@ -164,6 +171,7 @@
         let rules = book.rules().count();
         let book = Arc::new(book);
         state.extra.book = Some(book.clone());
+        state.extra.homes = None;
         set_bounds(&mut state);
         lock(&self.passed.books).put(book);
         drop(state);
@@ -188,6 +196,11 @@
         set_budgets(state);
     }
 
+    /// Where the leafs of what callers ask for are.
+    pub(crate) fn homes(&self) -> Arc<Homes> {
+        lock(&self.cell.state).extra.homes()
+    }
+
     /// Sets what this entry may use of what all share.
     pub(crate) fn allot(&self, allotment: Allotment) {
         let mut state = lock(&self.cell.state);
--- a/crates/relay/tests/goals.rs
+++ b/crates/relay/tests/goals.rs
@@ -20,6 +20,11 @@
 
 /// Four shards, of which three are enough.
 async fn relay() -> (Stage, Relay) {
+    relay_with(Duration::from_secs(2)).await
+}
+
+/// The same, with a timeout of the rule.
+async fn relay_with(timeout: Duration) -> (Stage, Relay) {
     let stage = Stage::default();
     let shards = ["s1", "s2", "s3", "s4"];
     for shard in &shards[..3] {
@@ -28,6 +33,7 @@
     stage.add_leafs(shards[3], 3, FAST_MS);
     let mut rule = rule("/q/", Kind::Idempotent, gather(&shards, 750));
     rule.goal = GOAL;
+    rule.timeout = timeout;
     stage.store.put_book(book(1, vec![rule]));
     let relay = stage.serving(1).await;
     sleep(Duration::from_secs(1)).await;
@@ -112,3 +118,18 @@
     let (reply, _) = send(&relay, Duration::from_millis(120)).await;
     assert_eq!(missing(&reply), Some(0));
 }
+
+/// A caller that connects gets its answer late, from an entry that few callers visit.
+/// The entry has seen no call with all of its time, so the longest that it has seen is
+/// less by what everybody spends. The operator's timeout is that little more: callers
+/// begin with it.
+#[tokio::test(start_paused = true)]
+async fn callers_that_few_of_come_begin_with_the_timeout() {
+    let (stage, relay) = relay_with(TIME).await;
+    let spent = Duration::from_millis(14);
+    send(&relay, spent).await;
+    slow_down(&stage);
+    let (reply, span) = send(&relay, spent).await;
+    assert_eq!(missing(&reply), Some(1));
+    assert!(spent + span + Duration::from_millis(10) <= GOAL, "{span:?}");
+}
