--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -33,14 +33,6 @@
 }
 
 impl<T: Clone> Mirror<T> {
-    /// Takes an answer: the whole list, or changes.
-    pub fn take(&mut self, batch: &Batch<T>, whole: bool) {
-        match whole {
-            true => self.listed(batch),
-            false => self.changed(batch),
-        }
-    }
-
     /// Takes the whole list.
     pub fn listed(&mut self, batch: &Batch<T>) {
         self.values.clear();
@@ -52,6 +44,24 @@
         self.heard = Some(batch.revision);
     }
 
+    /// Takes changes that followers act upon. Of an item that says the `same` as the one that
+    /// is known only the value is kept, for those that read the whole list.
+    pub fn changed_from(&mut self, batch: &Batch<T>, same: impl Fn(&T, &T) -> bool) {
+        let known = |item: &Item<T>| match (self.values.get(&item.name), &item.content) {
+            (Some(Some(known)), Content::Is(value)) => same(known, value),
+            _ => false,
+        };
+        let (same, new): (Vec<_>, Vec<_>) = batch.items.iter().cloned().partition(known);
+        for item in &same {
+            self.put(item);
+        }
+        let revision = batch.revision;
+        self.changed(&Batch {
+            items: new,
+            revision,
+        });
+    }
+
     /// Takes changes.
     pub fn changed(&mut self, batch: &Batch<T>) {
         for item in &batch.items {
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -18,7 +18,14 @@
 
 /// Takes an answer of the feed, to pass it on and to act by it.
 pub(crate) fn pass_leafs(shared: &Shared, batch: Batch<(LeafId, LeafEntry)>, whole: bool) {
-    lock(&shared.passed.leafs).take(&batch, whole);
+    let mut passed = lock(&shared.passed.leafs);
+    match whole {
+        true => passed.listed(&batch),
+        // A leaf that warms up writes with each heartbeat, and only the time that is left
+        // of it changes: 405 new leafs told 295 entries so for three seconds.
+        false => passed.changed_from(&batch, |(_, known), (_, new)| known.is_same(new)),
+    }
+    drop(passed);
     take_leafs(shared, batch, whole);
 }
 
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -38,6 +38,12 @@
 /// several at a time, and each call is paid for; a leaf that leaves serves for
 /// some seconds more, so a third of a second is in time.
 const GATHER: Duration = Duration::from_millis(350);
+/// The longest pause, while changes come in series: it doubles with each answer that
+/// came at once. A watch that is lost is noticed later than that, within which all that
+/// follows is reckoned.
+const GATHER_MAX: Duration = Duration::from_millis(1000);
+/// A watch that waited for so long ends a series.
+const CALM: Duration = Duration::from_secs(1);
 
 /// What a change of upstream does to a call that is under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -89,6 +95,7 @@
     take: impl Fn(Batch<T>, bool),
 ) {
     let mut follower = Follower::default();
+    let mut gather = GATHER;
     loop {
         store_there(shared).await;
         let Some(upstream) = upstream(shared).await else {
@@ -116,7 +123,11 @@
                 take(batch, next == Next::List);
                 shared.passed.told.send_modify(|told| *told += 1);
                 if changed && next != Next::List && upstream == Upstream::Store {
-                    sleep(GATHER).await;
+                    gather = match shared.now().since(begun) < CALM {
+                        true => (gather * 2).min(GATHER_MAX),
+                        false => GATHER,
+                    };
+                    sleep(gather).await;
                 }
             }
             (Err(error @ FeedError::HistoryGone), _) => {
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -427,3 +427,23 @@
         assert!(serves(relay, "/b/x").await);
     }
 }
+
+/// Links fill while leafs start: each of 295 entries is told of each heartbeat of each.
+/// A leaf that warms up writes with every heartbeat, and only how much longer it is slow
+/// changes. Those that follow are not told; one that reads the whole list gets the latest.
+#[test]
+fn what_nobody_acts_upon_is_not_passed_on() {
+    let mut mirror = Mirror::default();
+    mirror.listed(&batch(10, &[("a", Some(1)), ("b", Some(2))]));
+    // Even and odd numbers stand for two things that an entry may say.
+    let same = |known: &u32, new: &u32| known % 2 == new % 2;
+    mirror.changed_from(&batch(12, &[("a", Some(3)), ("b", Some(5))]), same);
+    let since = mirror.since(10).unwrap();
+    assert_eq!(since, batch(12, &[("b", Some(5))]));
+    assert_eq!(
+        mirror.all().unwrap(),
+        batch(12, &[("a", Some(3)), ("b", Some(5))])
+    );
+    mirror.changed_from(&batch(15, &[("a", None)]), same);
+    assert_eq!(mirror.since(12).unwrap(), batch(15, &[("a", None)]));
+}
