--- a/crates/fleet/src/carriers.rs
+++ b/crates/fleet/src/carriers.rs
@@ -1,5 +1,9 @@
 //! Which members carry the callers.
 
+use std::time::Duration;
+
+use chestnut_unit::Time;
+
 /// A member that callers may be sent to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate<T> {
@@ -30,9 +34,13 @@
 /// all the same: four times what is needed without any loss.
 const ALIKE_ROOM: u64 = 4 * ROOM;
 
-/// A load below this part of what one of the strongest members can carry tells nothing
+/// A load below this part of what one carrier can carry tells nothing
 /// of what is to come: the calls of operators that look whether all is well.
 const IDLE_PARTS: u64 = 20;
+/// While no load is told one in so many members carries, six at least. At 16 in any case
+/// 17 entries began a day with a search every few seconds each.
+const IDLE_MEMBERS: usize = 8;
+const IDLE_LEAST: usize = 6;
 /// Calls a second to each leaf that a carrier needs to know how its leafs do, and to
 /// keep its connections to them open. Of 17 alike entries over 270 leafs, 450 calls a
 /// second in all, 4 carriers answered 66 of 95 searches in time, 8 did 58 and 16 did 44.
@@ -41,7 +49,7 @@
 /// The members that callers are sent to, strongest first: as few of the
 /// strongest as have room for twice the present load, and of those that are as
 /// strong as the weakest of them so many that a lost one hardly shows and each still
-/// makes enough calls to learn from, over `leafs` leafs. Among equal ones those with leafs
+/// makes enough calls to learn from, over `leafs` leafs, or `held` of them. Among equal ones those with leafs
 /// nearby are taken, and then the first in the order of `candidates`.
 ///
 /// A request over many shards costs a weak member as much time as its answer
@@ -51,18 +59,18 @@
 /// domain; a caller from another domain is one exchange. So those only carry what the
 /// others have no room for.
 #[must_use]
-pub fn carriers<T: Copy>(candidates: &[Candidate<T>], leafs: usize) -> Vec<T> {
+pub fn carriers<T: Copy>(candidates: &[Candidate<T>], leafs: usize, held: usize) -> Vec<T> {
     let load: u64 = candidates.iter().map(|c| u64::from(c.load)).sum();
-    let weights = candidates.iter().map(|c| u64::from(c.weight));
-    let strongest = weights.max().unwrap_or(0);
     let any_near = candidates.iter().any(|candidate| candidate.near);
     let mut room = 0;
     let mut weakest = usize::MAX;
     let enough = |taken: usize, room: u64| taken >= LEAST && room >= load * ROOM;
     let mut taken = Vec::new();
     for (tier, candidate) in by_tier(candidates) {
+        let weight = u64::from(candidate.weight);
         if enough(taken.len(), room) {
-            let few = taken.len() < alike_least(load, leafs, strongest);
+            let least = alike_least(load, leafs, weight, candidates.len());
+            let few = taken.len() < least.max(held);
             let busy = room < load * ALIKE_ROOM && learns(load, taken.len() + 1, leafs);
             if tier > weakest || !(few || busy) {
                 break;
@@ -73,17 +81,17 @@
         } else {
             weakest = tier;
         }
-        room += u64::from(candidate.weight);
+        room += weight;
         taken.push(candidate.id);
     }
     taken
 }
 
-/// Alike carriers that there are in any case. While hardly any load is told, as many as
-/// serve whatever may come.
-fn alike_least(load: u64, leafs: usize, strongest: u64) -> usize {
-    if load * IDLE_PARTS < strongest {
-        return ALIKE_LEAST;
+/// Alike carriers of `weight` that there are in any case, of `count` members. While hardly any load is
+/// told, as many as serve what may come to a deployment of that size.
+fn alike_least(load: u64, leafs: usize, weight: u64, count: usize) -> usize {
+    if load * IDLE_PARTS < weight {
+        return (count / IDLE_MEMBERS).clamp(IDLE_LEAST, ALIKE_LEAST);
     }
     let mut all = (LEAST..=ALIKE_LEAST).rev();
     all.find(|count| learns(load, *count, leafs))
@@ -114,3 +122,37 @@
     tiers.sort_by_key(|(tier, candidate)| (*tier, !candidate.near));
     tiers
 }
+
+/// How many carriers are kept for a while though the load wants fewer.
+///
+/// A load that rises is heard in steps. As it passed from next to nothing to 5,900 calls
+/// a second, 4 carriers were wanted for some seconds and then 15; the others still had
+/// callers, but no part of the extra calls, and answered 17 of 132 searches late while leafs
+/// were slow.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Held {
+    count: usize,
+    /// When so many were wanted last.
+    at: Time,
+}
+
+/// How long a count is kept. Callers keep the list of entries for up to six seconds, and a
+/// load is heard in full some seconds after it has come.
+const HELD_SPAN: Duration = Duration::from_secs(10);
+
+impl Held {
+    /// Takes how many carriers the load wants; returns how many there are to be.
+    pub fn want(&mut self, count: usize, now: Time) -> usize {
+        if count >= self.count || now.since(self.at) >= HELD_SPAN {
+            self.count = count;
+            self.at = now;
+        }
+        self.count
+    }
+
+    /// How many there are to be.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.count
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,7 +23,7 @@
 mod swim;
 mod view;
 
-pub use carriers::{Candidate, carriers};
+pub use carriers::{Candidate, Held, carriers};
 pub use confirm::{Confirm, Confirmed};
 pub use entries::{Entry, order_entries};
 pub use holder::{HolderPlan, Ranked, holders_wanted, watchers_of};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -11,8 +11,8 @@
 };
 
 use chestnut_fleet::{
-    Addresses, Candidate, Change, Liveness, Lives, Member, Probe, Send, Status, Swim, SwimConfig,
-    carriers,
+    Addresses, Candidate, Change, Held, Liveness, Lives, Member, Probe, Send, Status, Swim,
+    SwimConfig, carriers,
 };
 use chestnut_flow::lock;
 use chestnut_port::{FeedError, Freshness, Probes};
@@ -81,6 +81,7 @@
     /// twice the load.
     steady: Mutex<Rate>,
     load: AtomicU32,
+    held: Mutex<Held>,
     probes: Arc<dyn Probes>,
 }
 
@@ -104,6 +105,7 @@
             rate: Mutex::new(Rate::default()),
             steady: Mutex::new(Rate::over(STEADY_SPAN)),
             load: AtomicU32::new(0),
+            held: Mutex::default(),
             probes,
         }
     }
@@ -129,7 +131,8 @@
             .filter(|member| !others || member.liveness == Liveness::Alive)
             .map(|member| self.candidate(&swim, &homes, member, member.addresses.callers))
             .collect::<Vec<_>>();
-        let mut list = carriers(&listed, homes.leafs);
+        let held = lock(&self.held).count();
+        let mut list = carriers(&listed, homes.leafs, held);
         let mut rng = shared.host.rng();
         while list.len() > most {
             let at = (rng.next_u64() % list.len() as u64) as usize;
@@ -149,7 +152,9 @@
             .iter()
             .map(|member| self.candidate(&swim, &homes, member, *member))
             .collect();
-        let carriers = carriers(&list, homes.leafs);
+        let wanted = carriers(&list, homes.leafs, 0).len();
+        let held = lock(&self.held).want(wanted, shared.now());
+        let carriers = carriers(&list, homes.leafs, held);
         Allotment {
             carriers: carriers.len().max(1),
             others: list.len() - carriers.len(),
