--- a/crates/fleet/src/carriers.rs
+++ b/crates/fleet/src/carriers.rs
@@ -34,8 +34,8 @@
 /// all the same: four times what is needed without any loss.
 const ALIKE_ROOM: u64 = 4 * ROOM;
 
-/// A load below this part of what one carrier can carry tells nothing
-/// of what is to come: the calls of operators that look whether all is well.
+/// A load below this part of what one carrier can carry tells nothing of what is to come:
+/// the calls of operators that look whether all is well.
 const IDLE_PARTS: u64 = 20;
 /// While no load is told one in so many members carries, six at least. At 16 in any case
 /// 17 entries began a day with a search every few seconds each.
@@ -51,8 +51,9 @@
 /// The members that callers are sent to, strongest first: as few of the
 /// strongest as have room for twice the present load, and of those that are as
 /// strong as the weakest of them so many that a lost one hardly shows and each still
-/// makes enough calls to learn from, over `leafs` leafs, or `held` of them. Among equal ones those with leafs
-/// nearby are taken, and then the first in the order of `candidates`.
+/// makes enough calls to learn from, over `leafs` leafs; `held` of them if that is more.
+/// Among equal ones those with leafs nearby are taken, and then the first in the order
+/// of `candidates`.
 ///
 /// A request over many shards costs a weak member as much time as its answer
 /// may take. Spread over all members the load would also leave each with a
@@ -89,8 +90,8 @@
     taken
 }
 
-/// Alike carriers of `weight` that there are in any case, of `count` members. While hardly any load is
-/// told, as many as serve what may come to a deployment of that size.
+/// Alike carriers of `weight` that there are in any case, of `count` members. While hardly
+/// any load is told, as many as serve what may come to a deployment of that size.
 fn alike_least(load: u64, leafs: usize, weight: u64, count: usize) -> usize {
     if load * IDLE_PARTS < weight {
         return (count / IDLE_MEMBERS).clamp(IDLE_LEAST, ALIKE_LEAST);
--- a/crates/fleet/src/swim/probing.rs
+++ b/crates/fleet/src/swim/probing.rs
@@ -14,8 +14,8 @@
 
 /// One probe in this many goes to a member of any failure domain, where the own one has
 /// [`NEAR_LEAST`] others. Each member is then still probed from elsewhere every two to
-/// three seconds, as all members do the same. With all of them going anywhere 295 members in 5 domains
-/// sent 49 of 60 MB between domains in 48 s of a calm day.
+/// three seconds, as all members do the same. With all of them going anywhere 295 members
+/// in 5 domains sent 49 of 60 MB between domains in 48 s of a calm day.
 const FAR_EVERY: u64 = 4;
 /// Other members of a failure domain from which on they mostly watch each other. Their
 /// probes notice a death as soon as everybody's do: a member is probed as often.
@@ -103,8 +103,7 @@
 
     /// The next member of a shuffled round, so that each is probed once in
     /// every round and the time to notice a death is bounded. Where the own failure
-    /// domain has members enough to watch each other, three rounds of four are among
-    /// them.
+    /// domain has members enough to watch each other, three probes of four go to them.
     pub(super) fn next_target(&mut self, rng: &mut dyn Rng) -> Option<MemberId> {
         let round = match self.seq.is_multiple_of(FAR_EVERY) || !self.watch_near() {
             true => Round::All,
