--- a/crates/relay/src/ground.rs
+++ b/crates/relay/src/ground.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use chestnut_book::{RouteBook, Rule, Target, Turns};
+use chestnut_book::{RECORD, RouteBook, Rule, Target, Turns};
 use chestnut_flow::GateId;
 use chestnut_port::Distance;
 use chestnut_route::{Adapt, Admission, AdmitConfig, Bounds, Class, Ix, Purse, PurseId, Routes};
@@ -33,8 +33,6 @@
 
 /// Bytes of a leaf's signature in a merged answer.
 const SIGNATURE_BYTES: usize = 36;
-/// Bytes of a record.
-const RECORD_BYTES: usize = 16;
 
 /// Connections that a leaf takes from all entries where the book says nothing of its service.
 const CONNECTIONS: usize = 8;
@@ -109,7 +107,7 @@
         let Target::Gather { shards, top, .. } = &rule.target else {
             return Duration::ZERO;
         };
-        let bytes = shards.len() * SIGNATURE_BYTES + top * RECORD_BYTES;
+        let bytes = shards.len() * SIGNATURE_BYTES + top * RECORD;
         Duration::from_secs_f64(bytes as f64 * 8.0 / (self.link * 1e6))
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! replies.
 #![warn(clippy::unwrap_used)]
 
+mod adverts;
 mod allot;
 mod callers;
 mod calls;
@@ -40,12 +41,12 @@
 
 pub use chestnut_port::Distance;
 
+pub use adverts::{Advert, Adverts};
 pub use allot::{Allotment, Part, Rate};
 pub use follow::{Follower, Next};
 pub use forward::{Ask, Declined, Reply, Why};
 pub use history::History;
 pub use leafs::{LeafEntry, LeafState, Leafs, Moved};
-pub use members::{Advert, Adverts};
 pub use mirror::Mirror;
 pub use pulse::Pulse;
 pub use relay::{FeedBinder, Relay, RelayPorts};
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -15,50 +15,18 @@
     SwimConfig, carriers,
 };
 use chestnut_flow::lock;
-use chestnut_port::{FeedError, Freshness, Probes};
+use chestnut_port::Probes;
 use chestnut_unit::{DomainName, Incarnation, MemberId, Time};
-use futures::future::BoxFuture;
 use rand::Rng;
-use slog::{info, warn};
-use tokio::time::{sleep, sleep_until};
+use slog::info;
+use tokio::time::sleep_until;
 
 use crate::{
-    Allotment, Cause, Distance, Part, Rate, RelaySettings, Upstream,
+    Advert, Allotment, Cause, Distance, Part, Rate, RelaySettings, Upstream,
     ground::Homes,
     shared::{Phase, Shared},
 };
 
-/// What an entry leaves in the store so that others find it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Advert {
-    /// Its name.
-    pub member: MemberId,
-    /// Its failure domain.
-    pub domain: DomainName,
-    /// Where it listens.
-    pub addresses: Addresses,
-}
-
-/// The port to the adverts.
-pub trait Adverts: std::marker::Send + Sync {
-    /// Reads all adverts.
-    fn list(&self, freshness: Freshness) -> BoxFuture<'_, Result<Vec<Advert>, FeedError>>;
-
-    /// Writes the advert of this entry, whatever stood there before.
-    fn publish(&self, advert: Advert) -> BoxFuture<'_, Result<(), FeedError>>;
-
-    /// Removes the advert of an entry that is gone.
-    fn remove(&self, member: MemberId) -> BoxFuture<'_, Result<(), FeedError>>;
-}
-
-/// Wait for the answers of the seeds.
-const ANSWER: Duration = Duration::from_millis(100);
-/// Rest while this entry knows nobody, or its advert is not written.
-const REST: Duration = Duration::from_millis(700);
-/// Time between two readings of all adverts. Probes spread the news of members;
-/// the adverts only join groups that lost each other, so a stale copy, which
-/// costs the store little, is enough.
-const AGAIN: Duration = Duration::from_secs(20);
 /// Time over which the load is taken that decides who carries callers.
 const STEADY_SPAN: Duration = Duration::from_secs(6);
 /// Members that are told directly that this entry starts or leaves.
@@ -178,6 +146,22 @@
         }
     }
 
+    /// Of the members in `list` those that are gone, if it is this entry that removes them:
+    /// only the first of the working members does, so that one call is made for each.
+    pub(crate) fn gone_of(&self, shared: &Shared, list: &[Advert]) -> Vec<MemberId> {
+        let swim = lock(&self.swim);
+        let first = swim.view.working().map(|member| &member.id).min();
+        if first != Some(&shared.settings.entry.member) {
+            return Vec::new();
+        }
+        let is_gone = |id: &&MemberId| {
+            let member = swim.view.get(id);
+            member.is_some_and(|member| member.liveness == Liveness::Gone)
+        };
+        let listed = list.iter().map(|advert| &advert.member);
+        listed.filter(is_gone).cloned().collect()
+    }
+
     /// Addresses of the members in the own failure domain.
     fn near(&self, shared: &Shared) -> BTreeSet<IpAddr> {
         let own = &shared.settings.entry.domain;
@@ -187,7 +171,7 @@
         near.map(|member| member.addresses.peers.ip()).collect()
     }
 
-    fn count(&self) -> usize {
+    pub(crate) fn count(&self) -> usize {
         lock(&self.swim).view.present().count()
     }
 
@@ -220,7 +204,7 @@
     }
 
     /// Asks the seeds who they are.
-    async fn knock(&self, shared: &Shared) {
+    pub(crate) async fn knock(&self, shared: &Shared) {
         let out: Vec<Send> = {
             let swim = lock(&self.swim);
             let own = shared.settings.listen.peers;
@@ -231,12 +215,12 @@
         send_all(self, out).await;
     }
 
-    fn introduce(&self, shared: &Shared, adverts: &[Advert]) {
+    pub(crate) fn introduce(&self, shared: &Shared, adverts: &[Advert]) {
         let now = shared.now();
         let mut swim = lock(&self.swim);
         let unknown: Vec<Member> = adverts
             .iter()
-            .filter(|advert| is_new(&swim, advert))
+            .filter(|advert| swim.view.get(&advert.member).is_none())
             .map(|advert| {
                 let (id, domain) = (advert.member.clone(), advert.domain.clone());
                 Member::starting(id, domain, advert.addresses, Incarnation(0))
@@ -278,7 +262,7 @@
     member.incarnation > Incarnation(0)
 }
 
-fn addresses(settings: &RelaySettings) -> Addresses {
+pub(crate) fn addresses(settings: &RelaySettings) -> Addresses {
     Addresses {
         callers: settings.listen.callers,
         operators: settings.listen.metrics,
@@ -286,104 +270,14 @@
     }
 }
 
-fn is_new(swim: &Swim, advert: &Advert) -> bool {
-    swim.view.get(&advert.member).is_none()
-}
-
-/// Finds the members, and keeps finding those that the probes lost.
-///
-/// Seeds are asked first, as they cost nothing. The adverts in the store are
-/// for entries whose seeds are all gone: those that watch the store keep theirs
-/// there, and whoever knows nobody reads them.
-pub(crate) async fn find(shared: Arc<Shared>, members: Arc<Members>, adverts: Arc<dyn Adverts>) {
-    if !serves(&shared).await {
-        return;
-    }
-    let settings = &shared.settings;
-    let own = Advert {
-        member: settings.entry.member.clone(),
-        domain: settings.entry.domain.clone(),
-        addresses: addresses(settings),
-    };
-    let mut published = false;
-    loop {
-        members.knock(&shared).await;
-        sleep(ANSWER).await;
-        let alone = members.count() <= 1;
-        let watches = *shared.upstream.borrow() == Some(Upstream::Store);
-        if alone || watches {
-            shared.metrics.count_store("adverts");
-            match adverts.list(Freshness::Stale).await {
-                Ok(list) => {
-                    members.introduce(&shared, &list);
-                    share(&shared, &members);
-                    published |= list.contains(&own);
-                    if published {
-                        sweep(&shared, &members, &list, &*adverts).await;
-                    }
-                }
-                Err(error) => {
-                    warn!(shared.host.log, "fleet: can't read the adverts"; "why" => %error);
-                }
-            }
-        }
-        if watches && !published {
-            published = publish(&shared, &own, &*adverts).await;
-        }
-        let settled = members.count() > 1 && (published || !watches);
-        sleep(if settled { AGAIN } else { REST }).await;
-    }
-}
-
 /// Waits until the entry serves: others send callers to every member that they
 /// have heard of. Tells whether it does; if not, it has ended.
-async fn serves(shared: &Shared) -> bool {
+pub(crate) async fn serves(shared: &Shared) -> bool {
     let mut phases = shared.phase.subscribe();
     let served = phases.wait_for(|phase| *phase > Phase::Starting).await;
     served.is_ok()
 }
 
-async fn publish(shared: &Shared, own: &Advert, adverts: &dyn Adverts) -> bool {
-    shared.metrics.count_store("publish");
-    match adverts.publish(own.clone()).await {
-        Ok(()) => true,
-        Err(error) => {
-            warn!(shared.host.log, "fleet: can't publish the advert"; "why" => %error);
-            false
-        }
-    }
-}
-
-/// Removes the adverts of members that are gone. Only the first of the working
-/// members does, so that one call is made for each.
-async fn sweep(shared: &Shared, members: &Members, list: &[Advert], adverts: &dyn Adverts) {
-    let gone: Vec<MemberId> = {
-        let swim = lock(&members.swim);
-        let first = swim.view.working().map(|member| &member.id).min();
-        if first != Some(&shared.settings.entry.member) {
-            return;
-        }
-        let is_gone = |advert: &&Advert| {
-            let member = swim.view.get(&advert.member);
-            member.is_some_and(|member| member.liveness == Liveness::Gone)
-        };
-        list.iter()
-            .filter(is_gone)
-            .map(|advert| advert.member.clone())
-            .collect()
-    };
-    for member in gone {
-        info!(
-            shared.host.log,
-            "fleet: removing the advert of {member}, which is gone"
-        );
-        if let Err(error) = adverts.remove(member).await {
-            warn!(shared.host.log, "fleet: can't remove an advert"; "why" => %error);
-            return;
-        }
-    }
-}
-
 /// Probes, and answers probes, for as long as the entry runs.
 pub(crate) async fn probe(shared: Arc<Shared>, members: Arc<Members>) {
     if !serves(&shared).await {
@@ -491,7 +385,7 @@
 
 /// Divides what all entries may use together among those that are there. One
 /// that is leaving still serves and counts.
-fn share(shared: &Shared, members: &Members) {
+pub(crate) fn share(shared: &Shared, members: &Members) {
     shared.metrics.members.set(members.count() as i64);
     shared.traffic.set_near(members.near(shared));
     shared.allot(members.allotment(shared));
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,9 +16,10 @@
 use tokio::{sync::watch, task::JoinSet, time::sleep};
 
 use crate::{
+    adverts::{self, Adverts},
     forward::{self, Ask, Reply},
     leafs::LeafEntry,
-    members::{self, Adverts, Members},
+    members::{self, Members},
     pass::Passing,
     pull, report,
     settings::RelaySettings,
@@ -83,7 +84,7 @@
         set.spawn(feeds::book(shared.clone(), sources.clone()));
         set.spawn(feeds::leafs(shared.clone(), sources.clone()));
         set.spawn(pull::run(shared.clone(), sources));
-        set.spawn(members::find(
+        set.spawn(adverts::find(
             shared.clone(),
             members.clone(),
             ports.adverts,
