--- a/crates/relay/src/mirror.rs
+++ b/crates/relay/src/mirror.rs
@@ -44,30 +44,28 @@
         self.heard = Some(batch.revision);
     }
 
-    /// Takes changes that followers act upon. Of an item that says the `same` as the one that
-    /// is known only the value is kept, for those that read the whole list.
-    pub fn changed_from(&mut self, batch: &Batch<T>, same: impl Fn(&T, &T) -> bool) {
-        let known = |item: &Item<T>| match (self.values.get(&item.name), &item.content) {
-            (Some(Some(known)), Content::Is(value)) => same(known, value),
-            _ => false,
-        };
-        let (same, new): (Vec<_>, Vec<_>) = batch.items.iter().cloned().partition(known);
-        for item in &same {
-            self.put(item);
-        }
-        let revision = batch.revision;
-        self.changed(&Batch {
-            items: new,
-            revision,
-        });
-    }
-
     /// Takes changes.
     pub fn changed(&mut self, batch: &Batch<T>) {
+        self.changed_from(batch, |_, _| false);
+    }
+
+    /// Takes changes. Of an item that says the `same` as what is known by then only the
+    /// value is kept, for those that read the whole list; followers are not told.
+    ///
+    /// One after the other: an entry that lapsed and came back is in one answer twice. Judged
+    /// by what was known before it, coming back was no news, and followers heard of the
+    /// deletion alone.
+    pub fn changed_from(&mut self, batch: &Batch<T>, same: impl Fn(&T, &T) -> bool) {
         for item in &batch.items {
+            let known = match (self.values.get(&item.name), &item.content) {
+                (Some(Some(known)), Content::Is(value)) => same(known, value),
+                _ => false,
+            };
             self.put(item);
-            let change = (batch.revision, item.name.clone());
-            self.changes.push_back(change);
+            if !known {
+                let change = (batch.revision, item.name.clone());
+                self.changes.push_back(change);
+            }
         }
         while self.changes.len() > REMEMBERED {
             if let Some((revision, _)) = self.changes.pop_front() {
--- a/crates/relay/tests/upstream.rs
+++ b/crates/relay/tests/upstream.rs
@@ -447,3 +447,17 @@
     mirror.changed_from(&batch(15, &[("a", None)]), same);
     assert_eq!(mirror.since(12).unwrap(), batch(15, &[("a", None)]));
 }
+
+/// Callers are refused for want of a leaf that serves, at entries that follow a watcher.
+/// The store dropped the leaf's entry in an outage and had it back; one answer told both.
+/// What it said was the same as before, so coming back was taken for no news, and the
+/// deletion was passed on alone.
+#[test]
+fn a_leaf_that_lapsed_and_came_back_in_one_answer_is_there() {
+    let mut mirror = Mirror::default();
+    mirror.listed(&batch(10, &[("a", Some(1))]));
+    let same = |known: &u32, new: &u32| known == new;
+    mirror.changed_from(&batch(12, &[("a", None), ("a", Some(1))]), same);
+    assert_eq!(mirror.all().unwrap(), batch(12, &[("a", Some(1))]));
+    assert_eq!(mirror.since(10).unwrap(), batch(12, &[("a", Some(1))]));
+}
