Sight: tell tries of the same request, and leafs lost under it, in the line of a request

Lines of a request could not tell whether two of them were tries of the same one (each has an id of its own), nor whether leafs ended under it while others answered it. The fingerprint covers method, host, path, authorization and body.

--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt::Display,
+    net::SocketAddr,
     sync::{Arc, Mutex, atomic::Ordering},
     time::Duration,
 };
@@ -10,6 +11,7 @@
 use chestnut_flow::{Calls, Flying, Parts, Start, lock};
 use chestnut_port::{LeafCall, LeafFailure, LeafReply, Message};
 use chestnut_route::{Eviction, Failure};
+use chestnut_unit::LeafId;
 use futures::FutureExt;
 
 use crate::{ground::Ground, shared::Shared};
@@ -24,6 +26,16 @@
     /// The last failure that a leaf answered with, to pass on if nothing
     /// better comes.
     pub(crate) failed: Arc<Mutex<Option<LeafReply>>>,
+    pub(crate) seen: Arc<Mutex<Seen>>,
+}
+
+/// What calls tell of what their request does to leafs.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// Whether a leaf ran it and answered.
+    pub(crate) answered: bool,
+    /// Leafs whose connection ended under a call.
+    pub(crate) lost: Vec<(LeafId, SocketAddr)>,
 }
 
 /// Longest idle time of a connection for a request that runs at most once. Leafs
@@ -50,6 +62,7 @@
         let Some((connections, place)) = place else {
             return async { Err(Failure::NotSent) }.boxed();
         };
+        let called = (place.leaf.clone(), place.address);
         let call = LeafCall {
             leaf: place.leaf,
             address: place.address,
@@ -65,8 +78,15 @@
         let reply = self.shared.forward.call(call);
         let (failed, shards, merges) = (self.failed.clone(), start.shards, self.merges);
         let version = start.routes.snapshot.version;
+        let seen = self.seen.clone();
         async move {
-            match reply.await {
+            let reply = reply.await;
+            match &reply {
+                Ok(_) => lock(&seen).answered = true,
+                Err(LeafFailure::Lost) => lock(&seen).lost.push(called),
+                Err(_) => {}
+            }
+            match reply {
                 // What a leaf refuses, as a wrong path, is signed like any answer
                 // but holds no records: merged it would look like an empty shard.
                 Ok(reply) if merges && !reply.answer.status().is_success() => {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,9 +9,10 @@
 use chestnut_book::{Kind, Rule, Target, greatest};
 use chestnut_flow::{InFlight, Running, admit, lock, run};
 use chestnut_port::{LeafReply, Message};
+use chestnut_quarantine::Fingerprint;
 use chestnut_route::{End, Give, Ix, Order, Prospect, Query, QueryConfig, Repeat, Yields};
 use chestnut_unit::{Coverage, Reason, Run, Share, Time, Urgency};
-use hyper::header::HeaderValue;
+use hyper::header::{AUTHORIZATION, HeaderValue};
 use rand::Rng;
 use slog::info;
 
@@ -33,6 +34,23 @@
     pub left: Option<Duration>,
 }
 
+impl Ask {
+    /// The fingerprint of what is asked. Who asks counts where the request says so: a leaf
+    /// may answer the one and not the other. The caller's name of the try and its deadline
+    /// are new each time.
+    fn fingerprint(&self) -> Fingerprint {
+        let message = &self.message;
+        let caller = message.headers.get(AUTHORIZATION);
+        Fingerprint::of(&[
+            message.method.as_str().as_bytes(),
+            self.host.as_bytes(),
+            message.target.as_str().as_bytes(),
+            caller.map_or(&[], HeaderValue::as_bytes),
+            &message.body,
+        ])
+    }
+}
+
 /// Why a request gets no answer of a leaf.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Why {
@@ -104,6 +122,10 @@
     coverage: Option<Coverage>,
     /// Leafs that were called for shards which are missing.
     in_vain: String,
+    /// Leafs whose connection ended under a call.
+    lost: usize,
+    /// Whether a leaf ran it and answered.
+    ran: bool,
     /// Shards for want of whose room it was refused.
     full: String,
 }
@@ -121,6 +143,8 @@
         ahead: None,
         coverage: None,
         in_vain: String::new(),
+        lost: 0,
+        ran: false,
         full: String::new(),
     };
     let reply = decide(shared, &ask, start, &mut account)
@@ -196,6 +220,10 @@
         .map(|name| name.as_str())
         .collect::<Vec<_>>()
         .join(" ");
+    {
+        let seen = lock(&forwarded.seen);
+        (account.lost, account.ran) = (seen.lost.len(), seen.answered);
+    }
     finish(running, &query);
     let failed = lock(&forwarded.failed).take();
     let after = come_back(span, shared.host.rng().next_u64());
@@ -209,6 +237,7 @@
         kind: rule.kind,
         merges: matches!(rule.target, Target::Gather { .. }),
         failed: Arc::new(Mutex::new(None)),
+        seen: Arc::default(),
     }
 }
 
@@ -331,10 +360,11 @@
         Reply::Whole(_) | Reply::Merged { .. } => "Ran".to_owned(),
     };
     info!(shared.host.log, "forward: {outcome}";
-        "request" => &ask.message.id, "rule" => rule, "book" => account.version,
+        "request" => &ask.message.id, "asks" => %ask.fingerprint(), "rule" => rule, "book" => account.version,
         "left_ms" => ask.left.map(|left| left.as_millis() as u64),
         "ahead_ms" => account.ahead.map(|ahead| ahead.as_millis() as u64),
-        "calls" => account.calls, "withheld" => account.withheld, "missing" => missing, "in_vain" => &account.in_vain, "full" => &account.full, "run" => run,
+        "calls" => account.calls, "withheld" => account.withheld, "missing" => missing, "in_vain" => &account.in_vain,
+        "lost" => account.lost, "answered" => account.ran, "full" => &account.full, "run" => run,
         "ms" => span.as_secs_f64() * 1e3);
 }
 
