--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -7,7 +7,7 @@
 mod store;
 
 #[allow(unused_imports, reason = "each test file uses its own part")]
-pub use leafs::{FakeLeafs, Got, Manner};
+pub use leafs::{Ended, FakeLeafs, Got, Manner};
 pub use net::{FakeFeeds, FakeNet};
 #[allow(unused_imports, reason = "each test file uses its own part")]
 pub use store::{Answers, FakeStore};
