--- a/crates/fleet/src/swim/mod.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -6,6 +6,7 @@
 
 use chestnut_book::BookVersion;
 use chestnut_conf::BookDigest;
+use chestnut_quarantine::Report;
 use chestnut_unit::{Incarnation, MemberId, Time};
 use probing::Round;
 use rand::Rng;
@@ -95,6 +96,8 @@
     pub book: BookVersion,
     /// Statements about others.
     pub news: Vec<Member>,
+    /// What is known against requests.
+    pub cases: Vec<Report>,
 }
 
 /// A message to send.
@@ -418,6 +421,7 @@
             load: status.load,
             book: status.book,
             news: Vec::new(),
+            cases: Vec::new(),
         }
     }
 }
--- a/crates/port/schema/peer.capnp
+++ b/crates/port/schema/peer.capnp
@@ -51,6 +51,21 @@
   target @8 :Text;
   # Version of the route book that the sender has in force; 0 if none.
   book @9 :UInt64;
+  cases @10 :List(Case);
+}
+
+# What is known against a request under which leafs ended. Times are milliseconds before
+# the message.
+struct Case {
+  what @0 :UInt64;         # fingerprint of the request
+  clearedMs @1 :Int64 = -1;  # when a leaf answered it; -1 if none did
+  episodes @2 :UInt32;
+  strikes @3 :List(Strike);
+}
+
+struct Strike {
+  leaf @0 :UInt32;  # mark of the leaf that ended
+  agoMs @1 :UInt32;
 }
 
 struct SubQuery {
--- a/crates/port/src/exchange.rs
+++ b/crates/port/src/exchange.rs
@@ -3,6 +3,7 @@
 
 use std::{
     collections::BTreeMap,
+    net::SocketAddr,
     sync::{
         Arc, Mutex,
         atomic::{AtomicU64, Ordering},
@@ -23,7 +24,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
-use crate::{Account, Clock, LeafCall, Purpose, Silence, Traffic, traffic::Metered};
+use crate::{Account, Clock, LeafCall, Listening, Purpose, Silence, Traffic, traffic::Metered};
 
 /// Parameters of the exchanges.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +68,15 @@
 
 impl std::error::Error for ExchangeError {}
 
+/// Whether anything listens at `address`, by opening a connection and closing it.
+pub async fn listening(address: SocketAddr) -> Listening {
+    match TcpStream::connect(address).await {
+        Ok(_) => Listening::Yes,
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => Listening::No,
+        Err(_) => Listening::Unknown,
+    }
+}
+
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
--- a/crates/port/src/forward.rs
+++ b/crates/port/src/forward.rs
@@ -68,11 +68,25 @@
     Failed(LeafReply),
 }
 
+/// Whether a leaf takes connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listening {
+    /// It does.
+    Yes,
+    /// Its machine says that nothing listens there.
+    No,
+    /// Nothing came back.
+    Unknown,
+}
+
 /// The port by which requests are forwarded.
 pub trait Forward: Send + Sync {
     /// Calls a leaf. Dropping the future cancels the call.
     fn call(&self, call: LeafCall) -> BoxFuture<'static, Result<LeafReply, LeafFailure>>;
 
+    /// Finds out whether a leaf takes connections, by opening one and closing it.
+    fn listening(&self, leaf: &LeafId, address: SocketAddr) -> BoxFuture<'static, Listening>;
+
     /// Takes it that a leaf has left for good.
     fn forget(&self, leaf: &LeafId);
 }
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -46,10 +46,10 @@
 mod wire;
 
 pub use clock::Clock;
-pub use exchange::{Exchange, ExchangeConfig, ExchangeError, Exchanges};
+pub use exchange::{Exchange, ExchangeConfig, ExchangeError, Exchanges, listening};
 pub use feed::{Batch, Content, Feed, FeedError, Freshness, Item};
 pub use feed_rpc::{FeedNet, FeedService, PeerFeed, PeerPulse, RawBatch, RawBook};
-pub use forward::{Forward, LeafCall, LeafFailure, LeafReply, Message};
+pub use forward::{Forward, LeafCall, LeafFailure, LeafReply, Listening, Message};
 pub use http::{HttpClient, HttpError, HttpReply};
 pub use json::LeafAnswer;
 pub use pack::{PackError, pack, unpack};
--- a/crates/port/src/peer_capnp.rs
+++ b/crates/port/src/peer_capnp.rs
@@ -1102,11 +1102,19 @@
         pub fn get_book(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_cases(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::case::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_cases(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 3 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 4 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1260,6 +1268,22 @@
         pub fn set_book(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_cases(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::case::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_cases(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::case::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+        }
+        #[inline]
+        pub fn init_cases(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::case::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+        }
+        #[inline]
+        pub fn has_cases(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1274,94 +1298,101 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 191] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(108, 8, 141, 107, 217, 102, 41, 167),
             ::capnp::word(11, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 114, 111, 98, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1447,6 +1478,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 97, 115, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(107, 244, 173, 126, 26, 122, 247, 231),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1460,6 +1503,7 @@
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::member::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::peer_capnp::case::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1473,13 +1517,532 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,5,4,3,1,6,7,2,8,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,10,5,4,3,1,6,7,2,8,0];
         pub(crate) const TYPE_ID: u64 = 0xa729_66d9_6b8d_086c;
     }
 }
 
+pub mod case {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_what(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_cleared_ms(self) -> i64 {
+            self.reader.get_data_field_mask::<i64>(1, -1)
+        }
+        #[inline]
+        pub fn get_episodes(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_strikes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::strike::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_strikes(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_what(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_what(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_cleared_ms(self) -> i64 {
+            self.builder.get_data_field_mask::<i64>(1, -1)
+        }
+        #[inline]
+        pub fn set_cleared_ms(&mut self, value: i64)  {
+            self.builder.set_data_field_mask::<i64>(1, value, -1);
+        }
+        #[inline]
+        pub fn get_episodes(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_episodes(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_strikes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::strike::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_strikes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::strike::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_strikes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::strike::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_strikes(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 82] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(107, 244, 173, 126, 26, 122, 247, 231),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 67, 97, 115, 101, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(119, 104, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 77),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(255, 255, 255, 255, 255, 255, 255, 255),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 112, 105, 115, 111, 100, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 114, 105, 107, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(188, 174, 202, 245, 169, 245, 216, 221),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::peer_capnp::strike::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,3,0];
+        pub(crate) const TYPE_ID: u64 = 0xe7f7_7a1a_7ead_f46b;
+    }
+}
+
+pub mod strike {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_leaf(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn get_ago_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_leaf(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_leaf(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+        #[inline]
+        pub fn get_ago_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_ago_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 47] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(188, 174, 202, 245, 169, 245, 216, 221),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(133, 69, 62, 123, 192, 166, 241, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 83, 116, 114, 105, 107),
+            ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 101, 97, 102, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 111, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xddd8_f5a9_f5ca_aebc;
+    }
+}
+
 pub mod sub_query {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -8,6 +8,7 @@
 use chestnut_conf::{BookDigest, Kind, Object, ObjectKey};
 use chestnut_fleet::{Addresses, Heir, Liveness, Member, Probe, ProbeKind};
 use chestnut_once::{Handed, Outcome, Ticket};
+use chestnut_quarantine::{Fingerprint, LeafMark, Report};
 use chestnut_route::{Failure, Refusal};
 use chestnut_unit::{
     CallType, DomainName, Incarnation, IndexVersion, LeafId, OrgName, Reason, RequestId,
@@ -130,6 +131,40 @@
     from.iter().map(get_member).collect()
 }
 
+fn put_cases(cases: &[Report], mut to: struct_list::Builder<'_, schema::case::Owned>) {
+    for (at, case) in cases.iter().enumerate() {
+        let mut to = to.reborrow().get(at as u32);
+        to.set_what(case.what.0);
+        to.set_cleared_ms(case.cleared.map_or(-1, |age| age.as_millis() as i64));
+        to.set_episodes(case.episodes);
+        let mut strikes = to.init_strikes(case.strikes.len() as u32);
+        for (at, (leaf, age)) in case.strikes.iter().enumerate() {
+            let mut strike = strikes.reborrow().get(at as u32);
+            strike.set_leaf(leaf.0);
+            strike.set_ago_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        }
+    }
+}
+
+fn get_cases(from: struct_list::Reader<'_, schema::case::Owned>) -> Read<Vec<Report>> {
+    from.iter().map(get_case).collect()
+}
+
+fn get_case(from: schema::case::Reader<'_>) -> Read<Report> {
+    let strikes = from.get_strikes()?;
+    let strikes = strikes.iter().map(|strike| {
+        let age = Duration::from_millis(u64::from(strike.get_ago_ms()));
+        (LeafMark(strike.get_leaf()), age)
+    });
+    let cleared = u64::try_from(from.get_cleared_ms()).ok();
+    Ok(Report {
+        what: Fingerprint(from.get_what()),
+        cleared: cleared.map(Duration::from_millis),
+        strikes: strikes.collect(),
+        episodes: from.get_episodes(),
+    })
+}
+
 /// A probe as one datagram.
 pub(crate) fn probe_bytes(probe: &Probe) -> Vec<u8> {
     let mut message = capnp::message::Builder::new_default();
@@ -149,8 +184,11 @@
     root.set_confirmed_ms(probe.confirmed.map_or(-1, |age| age.as_millis() as i64));
     root.set_load(probe.load);
     root.set_book(probe.book.0);
-    let news = root.init_news(probe.news.len() as u32);
+    let news = root.reborrow().init_news(probe.news.len() as u32);
     put_members(&probe.news, news);
+    if !probe.cases.is_empty() {
+        put_cases(&probe.cases, root.init_cases(probe.cases.len() as u32));
+    }
     let mut bytes = Vec::new();
     capnp::serialize_packed::write_message(&mut bytes, &message)
         .expect("writing to memory does not fail");
@@ -179,6 +217,7 @@
         load: root.get_load(),
         book: BookVersion(root.get_book()),
         news: get_members(root.get_news()?)?,
+        cases: get_cases(root.get_cases()?)?,
     })
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -20,6 +20,7 @@
     calls::Forwarded,
     ground::Ground,
     plan::{Plan, plan},
+    quarantine::{self, Try},
     shared::{Phase, Shared},
 };
 
@@ -176,6 +177,8 @@
         return Err(unrun(Why::NoRule, None));
     };
     account.rule = Some(rule.clone());
+    let asks = ask.fingerprint();
+    let trust = quarantine::admit(shared, asks)?;
     let draw = shared.host.rng().next_u64();
     let Plan {
         routes,
@@ -206,9 +209,11 @@
             Kind::Idempotent => Repeat::Free,
             Kind::Once => Repeat::Unrun,
         },
+        trust,
         class,
     };
     let forwarded = forwarded(shared, &rule, ask);
+    let _try = Try::new(shared, asks, forwarded.seen.clone());
     let query = run(&shared.host, &shared.cell, &forwarded, routes, None, config).await;
     account.ended = query.end() == Some(End::Partial(Give::Enough));
     account.calls = query.calls();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod plan;
 mod pull;
 mod pulse;
+mod quarantine;
 mod ranked;
 mod relay;
 mod report;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -24,6 +24,7 @@
 use crate::{
     Advert, Allotment, Cause, Distance, Part, Rate, RelaySettings, Upstream,
     ground::Homes,
+    quarantine,
     shared::{Phase, Shared},
 };
 
@@ -212,7 +213,7 @@
             let status = status(shared, self);
             seeds.map(|seed| swim.knock(*seed, status)).collect()
         };
-        send_all(self, out).await;
+        send_all(shared, self, out).await;
     }
 
     pub(crate) fn introduce(&self, shared: &Shared, adverts: &[Advert]) {
@@ -306,7 +307,7 @@
                 share(&shared, &members);
             }
         }
-        send_all(&members, out).await;
+        send_all(&shared, &members, out).await;
         take_changes(&shared, &members);
     }
 }
@@ -320,12 +321,12 @@
 /// Tells the members that this entry ends now.
 pub(crate) async fn farewell(shared: &Shared, members: &Members) {
     let out = lock(&members.swim).stop(status(shared, members), TOLD);
-    send_all(members, out).await;
+    send_all(shared, members, out).await;
 }
 
 async fn announce(shared: &Shared, members: &Members) {
     let out = lock(&members.swim).announce(status(shared, members), TOLD);
-    send_all(members, out).await;
+    send_all(shared, members, out).await;
 }
 
 fn receive(
@@ -341,6 +342,7 @@
         true => Distance::Near,
         false => Distance::Far,
     };
+    quarantine::hear(shared, &probe.cases);
     shared.hear_version(probe.from.addresses.peers, probe.book, distance);
 }
 
@@ -357,8 +359,20 @@
     }
 }
 
-async fn send_all(members: &Members, out: Vec<Send>) {
-    for Send { to, probe } in out {
+/// Tells some members what is news of requests that end leafs.
+pub(crate) async fn tell_cases(shared: &Shared, members: &Members) {
+    let out = members.tell_some(shared);
+    send_all(shared, members, out).await;
+}
+
+/// Sends messages that are due together. All of them carry the same cases.
+async fn send_all(shared: &Shared, members: &Members, out: Vec<Send>) {
+    if out.is_empty() {
+        return;
+    }
+    let cases = quarantine::cases(shared, members.count());
+    for Send { to, mut probe } in out {
+        probe.cases.clone_from(&cases);
         members.probes.send(to, probe).await;
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -74,6 +74,7 @@
     moves: Family<CauseLabels, Counter>,
     bytes: Family<ByteLabels, Gauge>,
     extra: Family<KindLabels, Gauge<f64, AtomicU64>>,
+    cases: Family<KindLabels, Gauge>,
     pub(crate) in_flight: Gauge,
     pub(crate) classes: Gauge,
 }
@@ -99,6 +100,7 @@
             moves: Family::default(),
             bytes: Family::default(),
             extra: Family::default(),
+            cases: Family::default(),
             in_flight: Gauge::default(),
             classes: Gauge::default(),
         };
@@ -135,6 +137,8 @@
         r.register("bytes", bytes, self.bytes.clone());
         let extra = "Extra calls so far: earned, lost, spent, withheld";
         r.register("extra_calls", extra, self.extra.clone());
+        let cases = "Requests under which leafs ended: known, and refused now";
+        r.register("cases", cases, self.cases.clone());
         r.register("in_flight", "Requests that run", self.in_flight.clone());
         r.register("classes", "Classes of calls", self.classes.clone());
     }
@@ -188,6 +192,14 @@
         self.bytes.get_or_create(&labels).set(bytes as i64);
     }
 
+    /// Sets how many requests are known under which leafs ended, and are refused.
+    pub(crate) fn set_cases(&self, known: usize, refused: usize) {
+        for (kind, count) in [("known", known), ("refused", refused)] {
+            let cases = self.cases.get_or_create(&KindLabels { kind });
+            cases.set(count as i64);
+        }
+    }
+
     pub(crate) fn set_extra(&self, kind: &'static str, calls: f64) {
         self.extra.get_or_create(&KindLabels { kind }).set(calls);
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,7 @@
     leafs::LeafEntry,
     members::{self, Members},
     pass::Passing,
-    pull, report,
+    pull, quarantine, report,
     settings::RelaySettings,
     shared::{Phase, Shared},
     source,
@@ -68,7 +68,9 @@
     ///
     /// The port to other entries can't be bound.
     pub async fn spawn(settings: RelaySettings, host: Host, ports: RelayPorts) -> io::Result<Self> {
-        let shared = Arc::new(Shared::new(settings, host, ports.forward, ports.traffic));
+        let (doubter, doubts) = quarantine::doubts();
+        let shared = Shared::new(settings, host, ports.forward, ports.traffic, doubter);
+        let shared = Arc::new(shared);
         let members = Arc::new(Members::new(&shared, ports.probes));
         let sources = Arc::new(Sources {
             book: ports.book,
@@ -91,6 +93,8 @@
         ));
         set.spawn(members::probe(shared.clone(), members.clone()));
         set.spawn(report::run(shared.clone()));
+        set.spawn(quarantine::judge(shared.clone(), doubts));
+        set.spawn(quarantine::tell(shared.clone(), members.clone()));
         Ok(Self {
             shared,
             members,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -13,10 +13,11 @@
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_flow::{Cell, Host, lock};
 use chestnut_port::{Distance, Forward, Traffic};
+use chestnut_quarantine::Ledger;
 use chestnut_route::{Choice, Class, Table, TableConfig};
 use chestnut_unit::{RequestId, ServiceName, Time};
 use slog::info;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::{
     allot::Allotment,
@@ -24,6 +25,7 @@
     metrics::Metrics,
     pass::Passed,
     pulse::Pulse,
+    quarantine::Doubt,
     settings::{ExtraCalls, RelaySettings, Times},
     spread::Spread,
     upstream::{Upstream, UpstreamChoice},
@@ -68,6 +70,12 @@
     pub(crate) version: watch::Sender<BookVersion>,
     /// The upstream may have to change.
     pub(crate) choose: Notify,
+    /// What is known against requests.
+    pub(crate) ledger: Mutex<Ledger>,
+    /// The ledger has news to tell.
+    pub(crate) struck: Notify,
+    /// Where tries go that have to be looked into.
+    pub(crate) doubts: mpsc::Sender<Doubt>,
     pub(crate) in_flight: AtomicU32,
     /// Calls to leafs so far.
     pub(crate) calls: AtomicU64,
@@ -80,6 +88,7 @@
         host: Host,
         forward: Arc<dyn Forward>,
         traffic: Arc<Traffic>,
+        doubts: mpsc::Sender<Doubt>,
     ) -> Self {
         let config = TableConfig {
             choice: Choice::Predicted,
@@ -105,6 +114,9 @@
             newer: Notify::new(),
             version: watch::Sender::new(BookVersion(0)),
             choose: Notify::new(),
+            ledger: Mutex::default(),
+            struck: Notify::new(),
+            doubts,
             in_flight: AtomicU32::new(0),
             calls: AtomicU64::new(0),
             requests: AtomicU64::new(1),
--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -5,8 +5,9 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use chestnut_book::{Kind, Target};
-use chestnut_relay::Relay;
-use futures::future::join_all;
+use chestnut_relay::{Declined, Relay, Reply, Why};
+use chestnut_unit::{LeafId, Reason, Run};
+use futures::future::{join, join_all};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
 use world::{Ended, Stage, ask, book, gather, name, rule};
@@ -66,7 +67,7 @@
 /// other requests get nothing for seconds, over and over.
 /// Each try goes to another entry, a second or two after the one before, while the leafs
 /// that ended start again. Nothing was kept of a request beyond its try, so each was
-/// planned as if it were new.
+/// planned as if it were new: with one entry in place of six the tries went on the same.
 #[rstest]
 #[case::search(Kind::Idempotent, search())]
 #[case::one_leaf(Kind::Idempotent, Target::One(name("archive")))]
@@ -84,3 +85,210 @@
     let late = tries(&stage, DEADLY, bound(&ended));
     assert!(late <= TRIES, "{late} tries, {} leafs ended", ended.len());
 }
+
+/// How long a refusal for want of a better verdict may take: one trial at a time.
+const TRIAL: Duration = Duration::from_secs(1);
+
+fn declined(reply: &Reply) -> Option<Declined> {
+    match reply {
+        Reply::Declined(declined) => Some(*declined),
+        Reply::Whole(_) | Reply::Merged { .. } => None,
+    }
+}
+
+/// For how long a request is refused as one that ends leafs, if it is.
+fn quarantined(reply: &Reply) -> Option<Duration> {
+    let declined = declined(reply)?;
+    let why = Why::Declined(Reason::Quarantined);
+    declined.after.filter(|_| declined.why == why)
+}
+
+/// What became of the requests of one path.
+#[derive(Default)]
+struct Fates {
+    served: usize,
+    failed: usize,
+    /// Longest refusal as one that ends leafs, and how many there were.
+    refused: Option<Duration>,
+    refusals: usize,
+    /// Requests that "not run" was said of.
+    unrun: Vec<String>,
+}
+
+impl Fates {
+    fn take(&mut self, id: String, reply: &Reply) {
+        let refused = quarantined(reply);
+        self.refusals += usize::from(refused.is_some());
+        self.refused = self.refused.max(refused);
+        match declined(reply) {
+            None => self.served += 1,
+            Some(declined) if declined.run == Run::NotRun => self.unrun.push(id),
+            Some(_) => self.failed += 1,
+        }
+    }
+}
+
+/// Sends a request for `path` each `gap` for `span`, to the entries in turn.
+async fn send(relays: &[Relay], path: &'static str, gap: Duration, span: Duration) -> Fates {
+    let mut fates = Fates::default();
+    let count = (span.as_millis() / gap.as_millis()) as usize;
+    let sent = (0..count).map(|n| async move {
+        sleep(gap * n as u32).await;
+        let id = format!("{path} {n}");
+        let reply = relays[n * 5 % relays.len()].forward(ask(&id, path)).await;
+        (id, reply)
+    });
+    for (id, reply) in join_all(sent).await {
+        fates.take(id, &reply);
+    }
+    fates
+}
+
+/// Checks that no leaf got a request of which "not run" was said.
+fn assert_unrun(stage: &Stage, fates: &Fates) {
+    let got: BTreeSet<String> = stage
+        .leafs
+        .got()
+        .into_iter()
+        .map(|got| got.request)
+        .collect();
+    for id in &fates.unrun {
+        assert!(!got.contains(id), "{id} was said not to have run");
+    }
+}
+
+/// Callers of other requests would be refused with the one at fault.
+/// Their calls run on the leafs that it ends and are lost with it, at each of its tries.
+/// They are answered elsewhere or at their next try, and nothing is held against them.
+#[rstest]
+#[case::search(Kind::Idempotent, search())]
+#[case::one_leaf(Kind::Idempotent, Target::One(name("archive")))]
+#[case::once(Kind::Once, Target::One(name("archive")))]
+#[tokio::test(start_paused = true)]
+async fn others_on_the_same_leafs_are_served(#[case] kind: Kind, #[case] target: Target) {
+    let stage = stage(kind, target);
+    let relays = entries(&stage, 6).await;
+    let (gap, span) = (Duration::from_millis(1300), Duration::from_secs(40));
+    let others = join(
+        send(&relays, "/q/popular", Duration::from_millis(20), span),
+        send(&relays, "/q/seldom", Duration::from_millis(900), span),
+    );
+    let (deadly, (popular, seldom)) = join(send(&relays, DEADLY, gap, span), others).await;
+    let late = tries(&stage, DEADLY, bound(&stage.leafs.ended()));
+    assert!(late <= TRIES, "{late} tries");
+    assert!(deadly.refused.is_some_and(|refused| refused > TRIAL));
+    for (what, fates) in [("popular", &popular), ("seldom", &seldom)] {
+        assert_unrun(&stage, fates);
+        let refused = fates.refused.unwrap_or_default();
+        assert!(refused <= TRIAL, "{what}: refused for {refused:?}");
+        let all = fates.served + fates.failed + fates.unrun.len();
+        assert!(
+            fates.served * 10 >= all * 8,
+            "{what}: {} of {all} served",
+            fates.served
+        );
+    }
+    assert_unrun(&stage, &deadly);
+}
+
+/// Callers of a popular request would be refused, which ends no leaf.
+/// Two thirds of all leafs end every four seconds, for another reason, with calls of it
+/// under way at every entry.
+#[rstest]
+#[case::search(Kind::Idempotent, search())]
+#[case::one_leaf(Kind::Idempotent, Target::One(name("archive")))]
+#[case::once(Kind::Once, Target::One(name("archive")))]
+#[tokio::test(start_paused = true)]
+async fn leafs_that_end_for_another_reason_are_held_against_none(
+    #[case] kind: Kind,
+    #[case] target: Target,
+) {
+    let stage = stage(kind, target);
+    let relays = entries(&stage, 6).await;
+    let span = Duration::from_secs(60);
+    let ends = async {
+        for round in 0..15 {
+            for service in SHARDS.iter().chain(&["archive"]) {
+                for n in (0..3).filter(|n| *n != round % 3) {
+                    stage
+                        .leafs
+                        .end(&LeafId::new(format!("{service}-{n}")).unwrap());
+                }
+            }
+            sleep(Duration::from_secs(4)).await;
+        }
+    };
+    let popular = send(&relays, "/q/popular", Duration::from_millis(10), span);
+    let (popular, ()) = join(popular, ends).await;
+    assert_unrun(&stage, &popular);
+    let refused = popular.refused.unwrap_or_default();
+    assert!(refused <= TRIAL, "refused for {refused:?}");
+    // One in a hundred gave way to a trial.
+    let all = popular.served + popular.failed + popular.unrun.len();
+    assert!(
+        popular.refusals * 100 <= all,
+        "{} of {all}",
+        popular.refusals
+    );
+}
+
+/// An entry that starts sends on what the others refuse.
+/// It hears of it with the first probes.
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_starts_hears_of_it() {
+    let stage = stage(Kind::Idempotent, search());
+    let mut relays = entries(&stage, 6).await;
+    send(
+        &relays,
+        DEADLY,
+        Duration::from_millis(1300),
+        Duration::from_secs(10),
+    )
+    .await;
+    relays.push(stage.serving(7).await);
+    sleep(CONTACT).await;
+    let reply = relays[6].forward(ask("late", DEADLY)).await;
+    assert!(quarantined(&reply).is_some_and(|after| after > TRIAL));
+}
+
+/// The callers of a request that was mended are refused for good.
+/// A trial after the end of the refusal is answered, and every entry hears of that.
+#[tokio::test(start_paused = true)]
+async fn what_was_mended_is_served_again_everywhere() {
+    let stage = stage(Kind::Idempotent, search());
+    let relays = entries(&stage, 6).await;
+    send(
+        &relays,
+        DEADLY,
+        Duration::from_millis(1300),
+        Duration::from_secs(10),
+    )
+    .await;
+    let reply = relays[0].forward(ask("refused", DEADLY)).await;
+    let after = quarantined(&reply).expect("refused");
+    stage.leafs.mend(DEADLY);
+    sleep(after + Duration::from_millis(10)).await;
+    let first = relays[0].forward(ask("first", DEADLY)).await;
+    assert!(declined(&first).is_none(), "{first:?}");
+    sleep(CONTACT).await;
+    for relay in &relays {
+        let reply = relay.forward(ask("again", DEADLY)).await;
+        assert!(declined(&reply).is_none(), "{reply:?}");
+    }
+}
+
+/// Leafs end under a caller that tries again at once and at several entries together.
+#[tokio::test(start_paused = true)]
+async fn tries_that_come_together_stay_within_the_bound() {
+    let stage = stage(Kind::Idempotent, search());
+    let relays = entries(&stage, 6).await;
+    for round in 0..40 {
+        let tries = relays.iter().enumerate().map(|(n, relay)| async move {
+            relay.forward(ask(&format!("{round} {n}"), DEADLY)).await
+        });
+        join_all(tries).await;
+        sleep(Duration::from_millis(700)).await;
+    }
+    let late = tries(&stage, DEADLY, bound(&stage.leafs.ended()));
+    assert!(late <= TRIES, "{late} tries");
+}
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use chestnut_flow::lock;
-use chestnut_port::{Forward, LeafCall, LeafFailure, LeafReply};
+use chestnut_port::{Forward, LeafCall, LeafFailure, LeafReply, Listening};
 use chestnut_route::Refusal;
 use chestnut_unit::LeafId;
 use futures::{FutureExt, future::BoxFuture};
@@ -259,5 +259,16 @@
         .boxed()
     }
 
+    fn listening(&self, leaf: &LeafId, _: SocketAddr) -> BoxFuture<'static, Listening> {
+        let away = lock(&self.0).is_away(leaf);
+        async move {
+            match away {
+                true => Listening::No,
+                false => Listening::Yes,
+            }
+        }
+        .boxed()
+    }
+
     fn forget(&self, _: &LeafId) {}
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -67,7 +67,7 @@
 pub use profile::{Class, Profile};
 pub use purse::{Paid, Purse, PurseId};
 pub use query::{
-    Action, CallId, CallKind, Context, End, Give, Prospect, Query, QueryConfig, Repeat,
+    Action, CallId, CallKind, Context, End, Give, Prospect, Query, QueryConfig, Repeat, Trust,
 };
 pub use table::{Eviction, Table};
 pub use versions::{Route, Routes, Versions};
--- a/crates/route/src/query/closing.rs
+++ b/crates/route/src/query/closing.rs
@@ -60,15 +60,16 @@
         let hopeless: Vec<usize> = (0..self.shards.len())
             .filter(|p| self.shards[*p].is_hopeless())
             .collect();
-        if hopeless.is_empty() {
-            self.stuck = false;
-            return;
-        }
         let reachable = self.shards.len() - hopeless.len();
-        if hopeless.len() == self.pending || !self.reaches_least(reachable) {
+        let over = hopeless.len() == self.pending || !self.reaches_least(reachable);
+        if over && !hopeless.is_empty() {
             let give = self.why(&hopeless, cx);
             self.finish(End::Partial(give), cx);
+            return;
         }
+        // After the end was ruled out: a call that is cancelled at once may have run.
+        self.stuck = !hopeless.is_empty();
+        self.try_next(cx);
     }
 
     /// Why shards have no live call and get none.
--- a/crates/route/src/query/config.rs
+++ b/crates/route/src/query/config.rs
@@ -105,6 +105,16 @@
     Late,
 }
 
+/// Whether a query's request is known to end the back ends that run it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// Nothing is known against it.
+    Full,
+    /// Back ends ended under it, and none has answered it since: it gets a single call
+    /// until one has.
+    Trial,
+}
+
 /// Parameters of one query.
 #[derive(Clone, Copy, Debug)]
 pub struct QueryConfig {
@@ -122,6 +132,8 @@
     pub attempts: u32,
     /// Whether a call may be repeated.
     pub repeat: Repeat,
+    /// Whether its request may end those that run it.
+    pub trust: Trust,
     /// The class of its calls.
     pub class: Class,
 }
@@ -138,6 +150,7 @@
             prospect: Prospect::InTime,
             attempts: u32::MAX,
             repeat: Repeat::Free,
+            trust: Trust::Full,
             class: Class::default(),
         }
     }
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -3,13 +3,14 @@
 mod closing;
 mod config;
 mod gain;
+mod proof;
 mod tries;
 mod wait;
 
 use std::{sync::Arc, time::Duration};
 
 use chestnut_unit::{Coverage, IndexVersion, ShardName, Time};
-pub use config::{Action, CallId, CallKind, End, Give, Prospect, QueryConfig, Repeat};
+pub use config::{Action, CallId, CallKind, End, Give, Prospect, QueryConfig, Repeat, Trust};
 use rand::Rng;
 use tries::kind_after;
 use wait::Later;
@@ -82,6 +83,10 @@
     first: usize,
     end: Option<End>,
     sheds: u32,
+    /// Calls whose back end ended, or their connection.
+    lost: usize,
+    /// Whether a back end has answered a call.
+    proven: bool,
     /// Times that an extra call was not paid for.
     withheld: u32,
     /// Whether the goal has passed and the query was not ended by it.
@@ -115,6 +120,8 @@
             first: 0,
             end: None,
             sheds: 0,
+            lost: 0,
+            proven: false,
             withheld: 0,
             goal_seen: false,
             stuck: true,
@@ -154,6 +161,7 @@
             cx.table.gauge.dropped += parts.len() as u64;
             cx.table.lacks(to, self.version(), cx.now);
         }
+        self.prove(cx);
         self.release(id, CallKind::Retry, cx);
         self.settle(cx);
     }
@@ -177,6 +185,7 @@
         if failure == Failure::Refused(Refusal::NoSnapshot) {
             cx.table.lacks(to, self.version(), cx.now);
         }
+        self.lost += usize::from(failure == Failure::Lost);
         self.sheds += u32::from(failure == Failure::Refused(Refusal::Shed));
         self.release(id, kind_after(failure, self.config.repeat), cx);
         self.settle(cx);
--- a/crates/route/src/query/tries.rs
+++ b/crates/route/src/query/tries.rs
@@ -18,6 +18,10 @@
         if may_have_run || cx.now + HOP >= self.config.deadline {
             return;
         }
+        if kind == CallKind::Retry && self.is_trial() {
+            self.wait_for_proof(orphans, kind);
+            return;
+        }
         self.call(orphans, kind, cx);
         if kind == CallKind::Reshed {
             self.rest(orphans, cx);
@@ -30,6 +34,10 @@
     /// shards look early, and they would wait for another whole delay.
     pub(super) fn hedge(&mut self, cx: &mut Context<'_>) {
         self.look = Time::MAX;
+        if self.is_trial() {
+            self.look = self.next_later();
+            return;
+        }
         let hedge = cx.table.config.hedge;
         if !self.few_missing(hedge) && cx.now < self.half {
             self.look = cx.now + LOOK_AGAIN;
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -56,7 +56,11 @@
         }
         self.let_go(cx);
         self.look = Time::MAX;
-        let (called, left) = self.needed(cx);
+        let (mut called, left) = self.needed(cx);
+        if self.is_trial() {
+            let others = called.split_off(1.min(called.len()));
+            self.wait_for_proof(&others, CallKind::First);
+        }
         self.call(&called, CallKind::First, cx);
         for position in left {
             self.call_later(position, CallKind::First, self.next_look(cx.now));
--- a/crates/tier/src/edge.rs
+++ b/crates/tier/src/edge.rs
@@ -288,6 +288,7 @@
         | Reason::NoSnapshot
         | Reason::TargetRefused
         | Reason::Unconfirmed
+        | Reason::Quarantined
         | Reason::NotReady => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/crates/unit/src/reason.rs
+++ b/crates/unit/src/reason.rs
@@ -72,6 +72,8 @@
     Unconfirmed = "settings_unconfirmed", 14, "This entry can't confirm its settings; use another.";
     /// The entry is starting or stopping.
     NotReady = "not_ready", 15, "This entry is starting or has stopped; use another.";
+    /// Targets ended under the request each time that it was run.
+    Quarantined = "quarantined", 16, "Targets crashed each time that they ran this request.";
 }
 
 impl Reason {
