Keep refusals of requests that end leafs in the store, for when no entry remembers

Leafs ended again under what all entries refused: power took all of them, and each found out anew; or entries reached the store and no other entry. Each discovery costs the leafs of a whole search and one more, and two tries of the three that are allowed. An entry that takes a request for the cause writes a record, removes it when a leaf answers; those that watch the store read the records after their start and each 20 s, those that hear hardly any other entry each second, from stale lists. A case that is over is no news, or entries and the store would tell it round for ever; whoever hears strikes older than an answer tells of the answer once more.

--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -43,6 +43,18 @@
     pub episodes: u32,
 }
 
+impl Report {
+    /// The same, told so much later.
+    #[must_use]
+    pub fn aged(mut self, span: Duration) -> Self {
+        self.cleared = self.cleared.map(|age| age + span);
+        for (_, age) in &mut self.strikes {
+            *age += span;
+        }
+        self
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Entry {
     case: Case,
@@ -94,6 +106,21 @@
         entry.map_or(Stand::Free, |entry| entry.case.stand(now + PAST))
     }
 
+    /// Whether the request is taken for the cause of what ended under it: it is refused, or
+    /// was, and no leaf has answered it since.
+    #[must_use]
+    pub fn blames(&self, what: Fingerprint) -> bool {
+        let entry = self.entries.get(&what);
+        entry.is_some_and(|entry| entry.case.until().is_some())
+    }
+
+    /// What is known against a request, if it is taken for the cause.
+    #[must_use]
+    pub fn verdict(&self, what: Fingerprint, now: Time) -> Option<Report> {
+        let entry = self.entries.get(&what).filter(|_| self.blames(what))?;
+        Some(report(what, &entry.case, now + PAST))
+    }
+
     /// Takes it that leafs ended under a try that no leaf answered. Tells whether it is
     /// news.
     pub fn ended(&mut self, what: Fingerprint, leafs: &[LeafMark], now: Time) -> bool {
@@ -153,8 +180,12 @@
         }
         if counts {
             news |= entry.case.raise(report.episodes as usize);
+        } else if !report.strikes.is_empty() {
+            // The teller has not heard of the answer since, and may pass that on.
+            entry.told = entry.told.min(REPEAT - 1);
         }
-        if entry.case == Case::default() {
+        // What is over here and still told elsewhere would go round for ever.
+        if now >= entry.case.end() {
             self.entries.remove(&report.what);
             return false;
         }
@@ -254,21 +285,7 @@
     fn report(&mut self, what: Fingerprint, now: Time) -> Option<Report> {
         let entry = self.entries.get_mut(&what)?;
         entry.told = entry.told.saturating_add(1);
-        let case = &entry.case;
-        let strikes = case.strikes();
-        let early = STRIKES_TOLD / 2;
-        let told = strikes
-            .iter()
-            .enumerate()
-            .filter(|(at, _)| *at < early || at + early >= strikes.len());
-        Some(Report {
-            what,
-            cleared: case.cleared().map(|at| now.since(at)),
-            strikes: told
-                .map(|(_, strike)| (strike.leaf, now.since(strike.at)))
-                .collect(),
-            episodes: u32::try_from(case.episodes()).unwrap_or(u32::MAX),
-        })
+        Some(report(what, &entry.case, now))
     }
 
     fn bound(&mut self) {
@@ -282,3 +299,20 @@
         }
     }
 }
+
+fn report(what: Fingerprint, case: &Case, now: Time) -> Report {
+    let strikes = case.strikes();
+    let early = STRIKES_TOLD / 2;
+    let told = strikes
+        .iter()
+        .enumerate()
+        .filter(|(at, _)| *at < early || at + early >= strikes.len());
+    Report {
+        what,
+        cleared: case.cleared().map(|at| now.since(at)),
+        strikes: told
+            .map(|(_, strike)| (strike.leaf, now.since(strike.at)))
+            .collect(),
+        episodes: u32::try_from(case.episodes()).unwrap_or(u32::MAX),
+    }
+}
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -220,3 +220,33 @@
     let told = ledger.tell(4, 6, at(2500));
     assert!(told.iter().any(|report| report.what == ASKS));
 }
+
+/// A case that is over would be told from entry to entry, and read from the store, for
+/// ever: each that forgets it hears it anew from one that has not yet.
+#[test]
+fn what_is_over_is_no_news() {
+    let mut old = refusing();
+    let report = old.tell(4, 6, at(3000)).remove(0);
+    let mut new = Ledger::default();
+    assert!(!new.hear(&report.aged(Duration::from_secs(3600)), at(3000)));
+    assert!(new.is_empty());
+}
+
+/// Callers of a request that was answered again are refused by an entry that heard of the
+/// strikes late, and of the answer not at all.
+/// Whoever hears from it tells of the answer once more.
+#[test]
+fn an_old_strike_is_answered_with_the_answer() {
+    let mut one = refusing();
+    let strikes = one.tell(4, 6, at(3000)).remove(0);
+    one.answered(ASKS, at(4000));
+    while !one.tell(4, 6, at(4100)).is_empty() {}
+    let mut late = Ledger::default();
+    let strikes = strikes.aged(Duration::from_secs(2));
+    assert!(late.hear(&strikes, at(5000)));
+    let told = late.tell(4, 6, at(5100)).remove(0);
+    one.hear(&told, at(5100));
+    let answer = one.tell(4, 6, at(5200)).remove(0);
+    assert!(late.hear(&answer, at(5200)));
+    assert_eq!(late.look(ASKS, at(5200)), Stand::Free);
+}
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -41,6 +41,9 @@
 /// should it not, a few of all these are enough.
 const TOLD_FAR: usize = 1;
 
+/// An entry that hears less than one in so many of the others is likelier cut off itself.
+const LONELY_PART: usize = 8;
+
 /// The members that an entry knows.
 pub(crate) struct Members {
     swim: Mutex<Swim>,
@@ -150,11 +153,10 @@
     /// Of the members in `list` those that are gone, if it is this entry that removes them:
     /// only the first of the working members does, so that one call is made for each.
     pub(crate) fn gone_of(&self, shared: &Shared, list: &[Advert]) -> Vec<MemberId> {
-        let swim = lock(&self.swim);
-        let first = swim.view.working().map(|member| &member.id).min();
-        if first != Some(&shared.settings.entry.member) {
+        if !self.is_first(shared) {
             return Vec::new();
         }
+        let swim = lock(&self.swim);
         let is_gone = |id: &&MemberId| {
             let member = swim.view.get(id);
             member.is_some_and(|member| member.liveness == Liveness::Gone)
@@ -163,6 +165,27 @@
         listed.filter(is_gone).cloned().collect()
     }
 
+    /// Whether this entry is the first of the working members.
+    pub(crate) fn is_first(&self, shared: &Shared) -> bool {
+        let swim = lock(&self.swim);
+        let first = swim.view.working().map(|member| &member.id).min();
+        first == Some(&shared.settings.entry.member)
+    }
+
+    /// Whether hardly any of the others that this entry knows answers, those apart that
+    /// said that they leave. One that knows nobody is lonely too.
+    pub(crate) fn is_lonely(&self) -> bool {
+        let swim = lock(&self.swim);
+        let own = &swim.view.own().id;
+        let others = swim.view.all().filter(|member| member.id != *own);
+        let (mut known, mut alive) = (0, 0);
+        for member in others.filter(is_started).filter(|member| !member.leaving) {
+            known += 1;
+            alive += usize::from(member.liveness == Liveness::Alive);
+        }
+        alive == 0 || alive * LONELY_PART < known
+    }
+
     /// Addresses of the members in the own failure domain.
     fn near(&self, shared: &Shared) -> BTreeSet<IpAddr> {
         let own = &shared.settings.entry.domain;
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -74,7 +74,13 @@
         let seen = std::mem::take(&mut *lock(&self.seen));
         let shared = self.shared;
         if seen.answered {
-            let news = lock(&shared.ledger).answered(self.asks, shared.now());
+            let mut ledger = lock(&shared.ledger);
+            let blamed = ledger.blames(self.asks);
+            let news = ledger.answered(self.asks, shared.now());
+            drop(ledger);
+            if blamed {
+                record(shared, self.asks);
+            }
             if news {
                 info!(shared.host.log, "quarantine: a leaf answered {}", self.asks);
                 shared.struck.notify_one();
@@ -170,6 +176,7 @@
     let mut ledger = lock(&shared.ledger);
     let news = ledger.ended(asks, &marks, now);
     let stand = ledger.look(asks, now);
+    let blamed = ledger.blames(asks);
     shared.metrics.set_cases(ledger.len(), ledger.refused(now));
     drop(ledger);
     info!(shared.host.log, "quarantine: leafs ended under {asks}, which none answered";
@@ -177,6 +184,17 @@
     if news {
         shared.struck.notify_one();
     }
+    if news && blamed {
+        record(shared, asks);
+    }
+}
+
+/// Has the store's record of a request follow what is known here.
+fn record(shared: &Shared, asks: Fingerprint) {
+    // If it is full, or the entry ends, other entries still know.
+    if shared.verdicts.try_send(asks).is_err() {
+        warn!(shared.host.log, "quarantine: too many records to write, one is passed over"; "asks" => %asks);
+    }
 }
 
 /// Whether a leaf still takes connections. Its connection alone tells nothing: connections
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,7 +21,9 @@
     leafs::LeafEntry,
     members::{self, Members},
     pass::Passing,
-    pull, quarantine, report,
+    pull, quarantine,
+    records::{self, Records},
+    report,
     settings::RelaySettings,
     shared::{Phase, Shared},
     source,
@@ -45,6 +47,8 @@
     pub peers: FeedBinder,
     /// The adverts of the entries.
     pub adverts: Arc<dyn Adverts>,
+    /// What the store keeps of requests that end leafs.
+    pub records: Arc<dyn Records>,
     /// Calls to leafs.
     pub forward: Arc<dyn Forward>,
     /// Probes between entries.
@@ -69,7 +73,15 @@
     /// The port to other entries can't be bound.
     pub async fn spawn(settings: RelaySettings, host: Host, ports: RelayPorts) -> io::Result<Self> {
         let (doubter, doubts) = quarantine::doubts();
-        let shared = Shared::new(settings, host, ports.forward, ports.traffic, doubter);
+        let (judged, verdicts) = records::verdicts();
+        let shared = Shared::new(
+            settings,
+            host,
+            ports.forward,
+            ports.traffic,
+            doubter,
+            judged,
+        );
         let shared = Arc::new(shared);
         let members = Arc::new(Members::new(&shared, ports.probes));
         let sources = Arc::new(Sources {
@@ -94,6 +106,12 @@
         set.spawn(members::probe(shared.clone(), members.clone()));
         set.spawn(report::run(shared.clone()));
         set.spawn(quarantine::judge(shared.clone(), doubts));
+        set.spawn(records::run(
+            shared.clone(),
+            members.clone(),
+            ports.records,
+            verdicts,
+        ));
         set.spawn(quarantine::tell(shared.clone(), members.clone()));
         Ok(Self {
             shared,
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -13,7 +13,7 @@
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_flow::{Cell, Host, lock};
 use chestnut_port::{Distance, Forward, Traffic};
-use chestnut_quarantine::Ledger;
+use chestnut_quarantine::{Fingerprint, Ledger};
 use chestnut_route::{Choice, Class, Table, TableConfig};
 use chestnut_unit::{RequestId, ServiceName, Time};
 use slog::info;
@@ -76,6 +76,8 @@
     pub(crate) struck: Notify,
     /// Where tries go that have to be looked into.
     pub(crate) doubts: mpsc::Sender<Doubt>,
+    /// Where requests go whose record in the store has to change.
+    pub(crate) verdicts: mpsc::Sender<Fingerprint>,
     pub(crate) in_flight: AtomicU32,
     /// Calls to leafs so far.
     pub(crate) calls: AtomicU64,
@@ -89,6 +91,7 @@
         forward: Arc<dyn Forward>,
         traffic: Arc<Traffic>,
         doubts: mpsc::Sender<Doubt>,
+        verdicts: mpsc::Sender<Fingerprint>,
     ) -> Self {
         let config = TableConfig {
             choice: Choice::Predicted,
@@ -117,6 +120,7 @@
             ledger: Mutex::default(),
             struck: Notify::new(),
             doubts,
+            verdicts,
             in_flight: AtomicU32::new(0),
             calls: AtomicU64::new(0),
             requests: AtomicU64::new(1),
--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -10,7 +10,7 @@
 use futures::future::{join, join_all};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
-use world::{Ended, Stage, ask, book, gather, name, rule};
+use world::{Answers, Ended, Stage, ask, book, gather, name, peers_address, rule};
 
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 /// What ends its leafs.
@@ -292,3 +292,89 @@
     let late = tries(&stage, DEADLY, bound(&stage.leafs.ended()));
     assert!(late <= TRIES, "{late} tries");
 }
+
+/// Leafs end again under what every entry refused, as each finds out anew.
+/// All entries lose power at once, twice. None remembers, but the store has a record.
+#[tokio::test(start_paused = true)]
+async fn what_is_refused_stays_so_after_all_entries_ended() {
+    let stage = stage(Kind::Idempotent, search());
+    let mut relays = entries(&stage, 6).await;
+    let gap = Duration::from_millis(1300);
+    send(&relays, DEADLY, gap, Duration::from_secs(10)).await;
+    for _ in 0..2 {
+        relays.clear();
+        sleep(Duration::from_secs(2)).await;
+        relays = entries(&stage, 6).await;
+        send(&relays, DEADLY, gap, Duration::from_secs(20)).await;
+    }
+    let late = tries(&stage, DEADLY, bound(&stage.leafs.ended()));
+    assert!(late <= TRIES, "{late} tries");
+    assert_eq!(late, 0, "the record was there before any caller");
+}
+
+/// Leafs end under a request that the others refuse, which comes to entries that don't
+/// hear of it: two of them reach the store and none of the others.
+#[tokio::test(start_paused = true)]
+async fn entries_that_reach_only_the_store_hear_of_it() {
+    let stage = stage(Kind::Idempotent, search());
+    let relays = entries(&stage, 6).await;
+    stage.net.part(&[peers_address(5), peers_address(6)]);
+    sleep(Duration::from_secs(5)).await;
+    let gap = Duration::from_millis(1300);
+    send(&relays[..4], DEADLY, gap, Duration::from_secs(10)).await;
+    send(&relays, DEADLY, gap, Duration::from_secs(30)).await;
+    let late = tries(&stage, DEADLY, bound(&stage.leafs.ended()));
+    assert!(late <= TRIES, "{late} tries");
+}
+
+/// The store fills with records of requests that were mended or came no more.
+#[tokio::test(start_paused = true)]
+async fn records_end_with_what_they_tell() {
+    let stage = stage(Kind::Idempotent, search());
+    let relays = entries(&stage, 6).await;
+    send(
+        &relays,
+        DEADLY,
+        Duration::from_millis(1300),
+        Duration::from_secs(10),
+    )
+    .await;
+    assert_eq!(stage.store.records(), 1);
+    let reply = relays[0].forward(ask("refused", DEADLY)).await;
+    let after = quarantined(&reply).expect("refused");
+    stage.leafs.mend(DEADLY);
+    sleep(after + Duration::from_millis(10)).await;
+    relays[0].forward(ask("first", DEADLY)).await;
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(stage.store.records(), 0);
+    stage.leafs.set_deadly("/q/other");
+    send(
+        &relays,
+        "/q/other",
+        Duration::from_millis(1300),
+        Duration::from_secs(10),
+    )
+    .await;
+    assert_eq!(stage.store.records(), 1);
+    sleep(Duration::from_secs(3600)).await;
+    assert_eq!(stage.store.records(), 0);
+}
+
+/// What the store could not take while it was away is written when it is back.
+#[tokio::test(start_paused = true)]
+async fn a_record_waits_for_the_store() {
+    let stage = stage(Kind::Idempotent, search());
+    let relays = entries(&stage, 6).await;
+    stage.store.answers(Answers::Never);
+    send(
+        &relays,
+        DEADLY,
+        Duration::from_millis(1300),
+        Duration::from_secs(10),
+    )
+    .await;
+    assert_eq!(stage.store.records(), 0);
+    stage.store.answers(Answers::Yes);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(stage.store.records(), 1);
+}
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -72,6 +72,7 @@
                 async move { Ok(Arc::new(feeds) as Arc<dyn FeedPeers>) }.boxed()
             }),
             adverts: Arc::new(self.store.reached_by(n, &self.feeds.1)),
+            records: Arc::new(self.store.reached_by(n, &self.feeds.1)),
             forward: Arc::new(self.leafs.clone()),
             probes: Arc::new(probes),
             traffic: Arc::default(),
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -1,7 +1,7 @@
 //! Probes and feeds between entries.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -28,7 +28,13 @@
 
 /// A network for probes.
 #[derive(Clone, Default)]
-pub struct FakeNet(Arc<Mutex<BTreeMap<SocketAddr, mpsc::UnboundedSender<Mail>>>>);
+pub struct FakeNet(
+    Arc<Mutex<BTreeMap<SocketAddr, mpsc::UnboundedSender<Mail>>>>,
+    Parted,
+);
+
+/// Entries whose probes reach nobody, nor any of them.
+type Parted = Arc<Mutex<BTreeSet<SocketAddr>>>;
 
 pub struct FakeProbes {
     net: FakeNet,
@@ -42,6 +48,11 @@
         lock(&self.0).remove(&own);
     }
 
+    /// Parts entries from all others.
+    pub fn part(&self, entries: &[SocketAddr]) {
+        *lock(&self.1) = entries.iter().copied().collect();
+    }
+
     pub fn join(&self, own: SocketAddr) -> FakeProbes {
         let (sender, inbox) = mpsc::unbounded_channel();
         lock(&self.0).insert(own, sender);
@@ -55,7 +66,11 @@
 
 impl Probes for FakeProbes {
     fn send(&self, to: SocketAddr, probe: Probe) -> BoxFuture<'_, ()> {
-        if let Some(inbox) = lock(&self.net.0).get(&to) {
+        let parted = {
+            let parted = lock(&self.net.1);
+            parted.contains(&to) || parted.contains(&self.own)
+        };
+        if let Some(inbox) = lock(&self.net.0).get(&to).filter(|_| !parted) {
             let _ = inbox.send((probe, self.own));
         }
         async {}.boxed()
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -9,7 +9,8 @@
 use chestnut_book::RouteBook;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, Feed, FeedError, Freshness, Item};
-use chestnut_relay::{Advert, Adverts, LeafEntry};
+use chestnut_quarantine::Fingerprint;
+use chestnut_relay::{Advert, Adverts, LeafEntry, Record, Records};
 use chestnut_unit::{LeafId, MemberId};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
@@ -43,6 +44,7 @@
     /// Entries that another writer made unreadable.
     malformed: BTreeMap<LeafId, u64>,
     adverts: BTreeMap<MemberId, Advert>,
+    records: BTreeMap<Fingerprint, Record>,
     silent: bool,
     /// Raised by each silence; a watch from before it never answers.
     silences: u64,
@@ -149,6 +151,11 @@
         lock(&self.stored).barred.contains(&self.caller)
     }
 
+    /// Records of requests that end leafs.
+    pub fn records(&self) -> usize {
+        lock(&self.stored).records.len()
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.stored).calls
@@ -393,3 +400,32 @@
         .boxed()
     }
 }
+
+impl Records for FakeStore {
+    fn list(&self) -> BoxFuture<'_, Result<Vec<Record>, FeedError>> {
+        async move {
+            self.check().await?;
+            Ok(lock(&self.stored).records.values().cloned().collect())
+        }
+        .boxed()
+    }
+
+    fn write(&self, record: Record) -> BoxFuture<'_, Result<(), FeedError>> {
+        async move {
+            self.check().await?;
+            let what = record.report.what;
+            lock(&self.stored).records.insert(what, record);
+            Ok(())
+        }
+        .boxed()
+    }
+
+    fn remove(&self, what: Fingerprint) -> BoxFuture<'_, Result<(), FeedError>> {
+        async move {
+            self.check().await?;
+            lock(&self.stored).records.remove(&what);
+            Ok(())
+        }
+        .boxed()
+    }
+}
