--- a/crates/fleet/src/swim/mod.rs
+++ b/crates/fleet/src/swim/mod.rs
@@ -100,6 +100,23 @@
     pub cases: Vec<Report>,
 }
 
+/// Cases in one message, and in one that carries more than [`NEWS_FEW`] statements. A case
+/// takes some 60 bytes, a statement twice as many, and 1,400 bytes are never fragmented.
+const CASES: usize = 4;
+const CASES_BESIDE_NEWS: usize = 1;
+const NEWS_FEW: usize = 6;
+
+impl Probe {
+    /// Adds as many of the cases as the message has room for.
+    pub fn carry(&mut self, cases: &[Report]) {
+        let most = match self.news.len() > NEWS_FEW {
+            true => CASES_BESIDE_NEWS,
+            false => CASES,
+        };
+        self.cases = cases.iter().take(most).cloned().collect();
+    }
+}
+
 /// A message to send.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Send {
--- a/crates/port/src/probe.rs
+++ b/crates/port/src/probe.rs
@@ -62,6 +62,15 @@
         })
     }
 
+    /// Where it listens.
+    ///
+    /// # Errors
+    ///
+    /// The system does not tell.
+    pub fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
     /// Datagrams sent and received.
     #[must_use]
     pub fn messages(&self) -> u64 {
--- /dev/null
+++ b/crates/port/tests/cases.rs
@@ -0,0 +1,84 @@
+//! Cases of requests that end leafs, in the datagrams between entries.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use chestnut_book::BookVersion;
+use chestnut_conf::BookDigest;
+use chestnut_fleet::{Addresses, Member, Probe, ProbeKind};
+use chestnut_port::{ProbeSocket, Probes, probe_size};
+use chestnut_quarantine::{Fingerprint, LeafMark, Report};
+use chestnut_unit::{Incarnation, MemberId};
+
+/// Largest datagram that no network in between splits, with what lies below it.
+const DATAGRAM: usize = 1400;
+
+fn member(n: u32) -> Member {
+    let address = |port| SocketAddr::from(([10, 201, 164, n as u8], port));
+    let addresses = Addresses {
+        callers: address(8226),
+        operators: address(9464),
+        peers: address(8224),
+    };
+    let id = MemberId::new(format!("front-westland-north-{n}")).unwrap();
+    let life = Incarnation(1_790_000_000_000 + u64::from(n));
+    let mut member = Member::starting(id, "westland-north".parse().unwrap(), addresses, life);
+    (member.weight, member.load, member.beat) = (12_345, 6_789, n);
+    member
+}
+
+fn report(n: u32) -> Report {
+    Report {
+        what: Fingerprint(0xfedc_ba98_7654_3210 ^ u64::from(n)),
+        cleared: (n % 2 == 0).then_some(Duration::from_millis(7_654_321)),
+        strikes: (0..3)
+            .map(|at| {
+                (
+                    LeafMark(0xdead_beef ^ (n * 7 + at)),
+                    Duration::from_millis(86_399_999),
+                )
+            })
+            .collect(),
+        episodes: 3 + n,
+    }
+}
+
+fn probe(news: u32, cases: u32) -> Probe {
+    let mut probe = Probe {
+        kind: ProbeKind::Ping,
+        seq: 123_456_789,
+        from: member(200),
+        digest: BookDigest(0x1234_5678_9abc_def0),
+        confirmed: Some(Duration::from_millis(4321)),
+        load: 4321,
+        book: BookVersion(98_765),
+        news: (0..news).map(member).collect(),
+        cases: Vec::new(),
+    };
+    probe.carry(&(0..cases).map(report).collect::<Vec<_>>());
+    probe
+}
+
+/// What is told of requests never reaches some entries: networks split large datagrams
+/// and lose one of the halves more often than a whole one.
+#[test]
+fn a_datagram_with_all_that_it_may_carry_is_not_split() {
+    let size = probe_size(&probe(8, 4));
+    assert!(
+        size <= DATAGRAM,
+        "{size} bytes, {} without cases",
+        probe_size(&probe(8, 0))
+    );
+}
+
+#[tokio::test]
+async fn cases_are_read_as_they_were_sent() {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let one = ProbeSocket::bind(any, Arc::default()).await.unwrap();
+    let two = ProbeSocket::bind(any, Arc::default()).await.unwrap();
+    for (news, cases) in [(0, 0), (1, 1), (8, 4)] {
+        let sent = probe(news, cases);
+        one.send(two.address().unwrap(), sent.clone()).await;
+        let (got, _) = two.receive().await;
+        assert_eq!(got, sent);
+    }
+}
--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -6,14 +6,14 @@
 
 use crate::{
     Fingerprint, LeafMark, Stand, Strike,
-    case::{Case, EPISODE},
+    case::{Case, EPISODE, LEAFS},
 };
 
 /// Cases kept. Past it the one that says least is dropped: the fewest episodes, then the
 /// oldest. A case takes some 200 bytes.
 const CASES_MAX: usize = 1024;
-/// Strikes told of a case: those that date its first episode and the latest.
-const STRIKES_TOLD: usize = 4;
+/// Strikes told of a case: the first and the latest two, as many as a refusal needs.
+const STRIKES_TOLD: usize = LEAFS;
 /// Times that a case is told after it has changed, for each decimal digit of the number
 /// of members.
 const REPEAT: u32 = 4;
@@ -302,11 +302,11 @@
 
 fn report(what: Fingerprint, case: &Case, now: Time) -> Report {
     let strikes = case.strikes();
-    let early = STRIKES_TOLD / 2;
+    let late = strikes.len().saturating_sub(STRIKES_TOLD - 1).max(1);
     let told = strikes
         .iter()
         .enumerate()
-        .filter(|(at, _)| *at < early || at + early >= strikes.len());
+        .filter(|(at, _)| *at == 0 || *at >= late);
     Report {
         what,
         cleared: case.cleared().map(|at| now.since(at)),
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -388,14 +388,14 @@
     send_all(shared, members, out).await;
 }
 
-/// Sends messages that are due together. All of them carry the same cases.
+/// Sends messages that are due together. They carry the same cases.
 async fn send_all(shared: &Shared, members: &Members, out: Vec<Send>) {
     if out.is_empty() {
         return;
     }
     let cases = quarantine::cases(shared, members.count());
     for Send { to, mut probe } in out {
-        probe.cases.clone_from(&cases);
+        probe.carry(&cases);
         members.probes.send(to, probe).await;
     }
 }
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -37,7 +37,7 @@
 const LOOK_WAIT: Duration = Duration::from_millis(300);
 /// How long what became of a leaf is remembered. All requests that it ran ask at once.
 const LOOK_SPAN: Duration = Duration::from_secs(1);
-/// Cases that go with one message. Four keep it under the size that networks split.
+/// Cases that are told together.
 const CASES: usize = 4;
 /// Time between two looks for cases that are over.
 const FORGET_EVERY: Duration = Duration::from_secs(60);
