Tell at once also what ended many leafs, within a bound

The second try of a search over 90 shards ended their leafs once more, at an entry that had heard of the first only with a later probe. News that make no refusal go at once too, eight times in ten seconds, then with that window.

--- a/crates/quarantine/src/ledger.rs
+++ b/crates/quarantine/src/ledger.rs
@@ -17,12 +17,13 @@
 /// Times that a case is told after it has changed, for each decimal digit of the number
 /// of members.
 const REPEAT: u32 = 4;
-/// Time between two tellings of changes that make or end a refusal, so that what is
-/// learned together goes together.
-const URGENT_GAP: Duration = Duration::from_millis(100);
-/// Time between two tellings of other changes. When a region fails thousands of requests
-/// are struck once, few of them at fault.
-const NEWS_GAP: Duration = Duration::from_secs(1);
+/// Time between two tellings, so that what is learned together goes together.
+const TELL_GAP: Duration = Duration::from_millis(100);
+/// Tellings in a window that need not make or end a refusal. The next try of what ended
+/// the leafs of a whole search should be a trial at whatever entry, but when a region fails
+/// thousands of requests are struck, few of them at fault.
+const TELL_BURST: u32 = 8;
+const TELL_WINDOW: Duration = Duration::from_secs(10);
 /// Time after the start of a trial in which no other one is made here. A leaf answers
 /// within it, or is too slow to be waited for.
 const TRIAL_GAP: Duration = Duration::from_millis(100);
@@ -79,6 +80,16 @@
     entries: BTreeMap<Fingerprint, Entry>,
     /// Where the telling of cases that are refused goes on.
     turn: Option<Fingerprint>,
+    pace: Pace,
+}
+
+/// When news were last told without waiting for other messages, and how often in the
+/// present window.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    last: Time,
+    window: Time,
+    count: u32,
 }
 
 impl Ledger {
@@ -222,16 +233,27 @@
             .collect()
     }
 
-    /// When changes have to be told without waiting for other messages, if there are any
-    /// and they were last told so at `told`.
+    /// When changes have to be told without waiting for other messages, if there are any.
     #[must_use]
-    pub fn tell_at(&self, told: Time) -> Option<Time> {
-        let news = self.entries.values().filter(|entry| entry.told == 0);
-        let gaps = news.map(|entry| match entry.urgent {
-            true => URGENT_GAP,
-            false => NEWS_GAP,
-        });
-        gaps.min().map(|gap| told + gap)
+    pub fn tell_at(&self) -> Option<Time> {
+        let mut news = self.entries.values().filter(|entry| entry.told == 0);
+        let first = news.next()?;
+        let urgent = first.urgent || news.any(|entry| entry.urgent);
+        let next = self.pace.last + TELL_GAP;
+        Some(match urgent || self.pace.count < TELL_BURST {
+            true => next,
+            false => next.max(self.pace.window + TELL_WINDOW),
+        })
+    }
+
+    /// Takes it that changes are told now, without waiting for other messages.
+    pub fn telling(&mut self, now: Time) {
+        let pace = &mut self.pace;
+        if now >= pace.window + TELL_WINDOW {
+            (pace.window, pace.count) = (now, 0);
+        }
+        pace.last = now;
+        pace.count += 1;
     }
 
     /// Forgets cases whose time is over.
--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -249,3 +249,28 @@
     assert!(late.hear(&answer, at(5200)));
     assert_eq!(late.look(ASKS, at(5200)), Stand::Free);
 }
+
+/// What ended many leafs is told at once, a crowd of other news only now and then.
+#[test]
+fn news_are_paced() {
+    let mut ledger = Ledger::default();
+    assert_eq!(ledger.tell_at(), None);
+    let mut now = at(20_000);
+    for number in 0..100 {
+        ledger.ended(Fingerprint(number), &marks(0..1), now);
+    }
+    let end = now + Duration::from_secs(10);
+    let mut tellings = 0;
+    while let Some(due) = ledger.tell_at().filter(|due| *due < end) {
+        now = now.max(due);
+        ledger.telling(now);
+        ledger.tell(4, 6, now);
+        tellings += 1;
+    }
+    assert_eq!(tellings, 8);
+    ledger.ended(ASKS, &marks(0..9), now - Duration::from_secs(2));
+    ledger.ended(ASKS, &marks(9..10), now);
+    assert_eq!(ledger.tell_at(), Some(now + Duration::from_millis(100)));
+    ledger.telling(now + Duration::from_millis(100));
+    assert_eq!(ledger.tell(1, 6, now)[0].what, ASKS);
+}
--- a/crates/relay/src/quarantine.rs
+++ b/crates/relay/src/quarantine.rs
@@ -221,16 +221,15 @@
 /// Tells other entries what is news, and forgets what is over, for as long as the entry
 /// runs.
 pub(crate) async fn tell(shared: Arc<Shared>, members: Arc<Members>) {
-    let mut told = Time::ZERO;
     loop {
-        let due = lock(&shared.ledger).tell_at(told);
+        let due = lock(&shared.ledger).tell_at();
         let wake = due.unwrap_or(shared.now() + FORGET_EVERY);
         tokio::select! {
             () = shared.struck.notified() => continue,
             () = sleep_until(shared.host.clock.instant(wake)) => {}
         }
         if due.is_some() {
-            told = shared.now();
+            lock(&shared.ledger).telling(shared.now());
             members::tell_cases(&shared, &members).await;
         }
         lock(&shared.ledger).forget(shared.now());
