--- a/crates/port/tests/cases.rs
+++ b/crates/port/tests/cases.rs
@@ -29,7 +29,9 @@
 fn report(n: u32) -> Report {
     Report {
         what: Fingerprint(0xfedc_ba98_7654_3210 ^ u64::from(n)),
-        cleared: (n % 2 == 0).then_some(Duration::from_millis(7_654_321)),
+        cleared: n
+            .is_multiple_of(2)
+            .then_some(Duration::from_millis(7_654_321)),
         strikes: (0..3)
             .map(|at| {
                 (
