Ask the store once soon after all watchers have lost it

An entry turns to it if its revision is newer than what it has heard, and else asks again a second later.

--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -42,8 +42,16 @@
 /// for so long; entries by the thousand still ask the store a few hundred times
 /// a second in all.
 const CHECK_LEAST: Duration = Duration::from_secs(4);
+/// Most time until the first such pulse after the peers have lost the store. A version
+/// that it took in that moment, and that it serves to others than its watchers, is due
+/// within seconds; a single pulse more of each entry costs little.
+const CHECK_FIRST: Duration = Duration::from_millis(1500);
+/// The same for each member, where they are many: of thousands a few hundred ask in a
+/// second.
+const CHECK_FIRST_EACH: Duration = Duration::from_millis(2);
 
 /// What a pulse brought.
+#[derive(Clone, Copy)]
 enum Heard {
     /// The store or a peer answered.
     Revision,
@@ -58,6 +66,7 @@
 pub(crate) async fn run(shared: Arc<Shared>, members: Arc<Members>, sources: Arc<Sources>) {
     let mut start = PULSE_START;
     let mut check = Time::MAX;
+    let mut checked = false;
     loop {
         let upstream = choose(&shared, &members);
         shared.metrics.count_store(match upstream {
@@ -74,16 +83,21 @@
             (Heard::Lost, Upstream::Peer(_)) => {
                 let now = shared.now();
                 if check == Time::MAX {
-                    check = now + check_span(&shared);
+                    let span = match checked {
+                        true => check_span(&shared),
+                        false => check_first(&shared, &members),
+                    };
+                    check = now + span;
                 }
                 if now >= check {
-                    check = Time::MAX;
-                    check_store(&shared, &sources).await;
+                    checked = true;
+                    check = check_store(&shared, &sources).await;
                 }
                 rest(&shared, PULSE_LOST).await;
             }
             (Heard::Revision | Heard::Lost, _) => {
                 check = Time::MAX;
+                checked &= matches!(heard, Heard::Lost);
                 let starting = shared.phase() == Phase::Starting;
                 rest(&shared, if starting { start } else { PULSE }).await;
                 start = (start * 2).min(PULSE_START_MAX);
@@ -219,14 +233,24 @@
     }
 }
 
-/// Asks the store itself whether it is lost to this entry as it is to its peers.
-async fn check_store(shared: &Shared, sources: &Sources) {
+/// Asks the store itself whether it is lost to this entry as it is to its peers, and
+/// turns to it if it has news. Returns when to ask again.
+///
+/// Without news the peers are waited for: of entries that asked as the store came back,
+/// each read it whole and watched it for five seconds beside the watchers.
+async fn check_store(shared: &Shared, sources: &Sources) -> Time {
     shared.metrics.count_store("pulse");
     let answer = sources.book.pulse().await;
     info!(shared.host.log, "watch: asked the store, which the peers have lost";
         "answers" => answer.is_ok());
-    if answer.is_ok() {
-        lock(&shared.upstreams).store_answers(shared.now());
+    let now = shared.now();
+    match answer {
+        Ok(revision) if revision > shared.pulse.borrow().revision() => {
+            lock(&shared.upstreams).store_answers(now);
+            Time::MAX
+        }
+        Ok(_) => now + PULSE,
+        Err(_) => now + check_span(shared),
     }
 }
 
@@ -275,6 +299,12 @@
     }
 }
 
+/// Time until an entry asks the store whose peers have just lost it.
+fn check_first(shared: &Shared, members: &Members) -> Duration {
+    let each = CHECK_FIRST_EACH * u32::try_from(members.count()).unwrap_or(u32::MAX);
+    CHECK_FIRST.max(each.min(CHECK_LEAST)).mul_f64(draw(shared))
+}
+
 fn check_span(shared: &Shared) -> Duration {
     CHECK_LEAST.mul_f64(1.0 + draw(shared))
 }
--- a/crates/relay/tests/large_book.rs
+++ b/crates/relay/tests/large_book.rs
@@ -142,3 +142,33 @@
     let each = (stage.feeds.1.carried() - carried) / relays.len();
     assert!(each < 2_000, "{each} bytes an entry");
 }
+
+/// Time within which a change is due at all entries though the store turns some away. The
+/// deployment where it was missed allows five seconds.
+const DUE_DISTURBED: Duration = Duration::from_secs(5);
+
+/// Callers are refused a route that was confirmed five seconds before.
+/// The store takes a version, turns all its watchers away in the same moment, and serves
+/// one other entry. The others wait for the watchers, and each asked the store for itself
+/// for the first time four to eight seconds after it had noticed.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_version_that_came_as_all_watchers_were_turned_away_is_in_force_in_time(
+    #[values(7, 11, 16, 20, 24)] served: u16,
+) {
+    let (stage, relays) = start().await;
+    for number in 2..6 {
+        stage
+            .store
+            .bar((1..=ENTRIES).filter(|n| *n != served).collect());
+        stage
+            .store
+            .put_book(book(number, vec![one(&format!("/v{number}/"))]));
+        sleep(DUE_DISTURBED).await;
+        let with = entries_with(&relays, number).await;
+        assert_eq!(with, relays.len(), "version {number}");
+        stage.store.bar(Default::default());
+        // A part of a second more each time, so that pulses are found elsewhere.
+        sleep(Duration::from_millis(20_000 + 130 * number)).await;
+    }
+}
