--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -10,7 +10,7 @@
 use futures::future::{join, join_all};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
-use world::{Answers, Ended, Stage, ask, book, gather, name, peers_address, rule};
+use world::{Answers, Ended, Manner, Stage, ask, book, gather, name, peers_address, rule};
 
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 /// What ends its leafs.
@@ -232,6 +232,22 @@
     );
 }
 
+/// Callers would be refused for minutes because connections to leafs are reset.
+/// Every call of the request is lost, at every leaf and again and again, and each leaf
+/// still takes connections: it has not ended.
+#[tokio::test(start_paused = true)]
+async fn connections_that_end_alone_are_held_against_none() {
+    let stage = stage(Kind::Once, Target::One(name("archive")));
+    for leaf in stage.add_leafs("archive", 3, 10) {
+        stage.leafs.set(&leaf, Manner::Loses);
+    }
+    let relays = entries(&stage, 6).await;
+    let span = Duration::from_secs(20);
+    let lost = send(&relays, "/q/popular", Duration::from_millis(100), span).await;
+    assert!(lost.failed > 100, "{} failed", lost.failed);
+    assert_eq!(lost.refusals, 0);
+}
+
 /// An entry that starts sends on what the others refuse.
 /// It hears of it with the first probes.
 #[tokio::test(start_paused = true)]
