--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -173,7 +173,7 @@
     }
 
     /// Whether hardly any of the others that this entry knows answers, those apart that
-    /// said that they leave. One that knows nobody is lonely too.
+    /// said that they leave.
     pub(crate) fn is_lonely(&self) -> bool {
         let swim = lock(&self.swim);
         let own = &swim.view.own().id;
@@ -183,7 +183,7 @@
             known += 1;
             alive += usize::from(member.liveness == Liveness::Alive);
         }
-        alive == 0 || alive * LONELY_PART < known
+        alive * LONELY_PART < known
     }
 
     /// Addresses of the members in the own failure domain.
--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -44,7 +44,7 @@
 /// From the start of an entry to its first reading: by then it knows the seeds, and most
 /// entries don't have to read.
 const FIRST: Duration = Duration::from_millis(200);
-/// Time between two readings of an entry that watches the store.
+/// Time between two readings of an entry that watches the store, or knows no other.
 const AGAIN: Duration = Duration::from_secs(20);
 /// Time between two looks whether a reading is due. One that has lost the others reads at
 /// each.
@@ -94,8 +94,9 @@
         }
         if shared.now() >= due {
             let watches = *shared.upstream.borrow() == Some(Upstream::Store);
+            let reads = watches || members.count() <= 1;
             let rested = read_at.is_none_or(|at: Time| shared.now().since(at) >= AGAIN);
-            if members.is_lonely() || watches && rested {
+            if members.is_lonely() || reads && rested {
                 read_at = Some(shared.now());
                 read(&shared, &members, &*records).await;
             }
