Removing a record that another entry has removed is no failure

Two entries see that a refusal is over; the second was told 404, took the store to have failed and asked it again each second, for good. What the store refuses is not tried again either.

--- a/crates/relay/src/records.rs
+++ b/crates/relay/src/records.rs
@@ -123,7 +123,10 @@
         };
         if let Err(error) = taken {
             warn!(shared.host.log, "quarantine: the store did not take the record of {what}"; "why" => %error);
-            return false;
+            if !matches!(error, FeedError::Refused(_)) {
+                return false;
+            }
+            // It would be refused again.
         }
         waiting.remove(&what);
     }
