--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -73,6 +73,8 @@
 pub struct Ended {
     pub leaf: LeafId,
     pub at: Instant,
+    /// Whether a deadly request ended it.
+    pub deadly: bool,
 }
 
 /// How long a leaf runs a deadly request before it ends, and how long it is away then.
@@ -106,6 +108,10 @@
 
     /// Ends a leaf, with all calls that it runs; it is back after some seconds.
     pub fn end(&self, leaf: &LeafId) {
+        self.end_by(leaf, false);
+    }
+
+    fn end_by(&self, leaf: &LeafId, deadly: bool) {
         let mut world = lock(&self.0);
         let at = Instant::now();
         if world.is_away(leaf) {
@@ -115,6 +121,7 @@
         world.ended.push(Ended {
             leaf: leaf.clone(),
             at,
+            deadly,
         });
         if let Some(ends) = world.ends.get(leaf) {
             ends.send_modify(|ends| *ends += 1);
@@ -208,7 +215,7 @@
                 // Also if the call is given up.
                 tokio::spawn(async move {
                     sleep(DEADLY_AFTER).await;
-                    leafs.end(&leaf);
+                    leafs.end_by(&leaf, true);
                 });
             }
             let mut under = Under {
