--- a/crates/quarantine/tests/ledger.rs
+++ b/crates/quarantine/tests/ledger.rs
@@ -74,6 +74,24 @@
     assert_eq!(ledger.admit(ASKS, at(81)), Stand::Free);
 }
 
+/// One leaf after the other ends under tries that come ten a second.
+/// A trial that ended its leaf within the first second tells no more than the try before
+/// it; the next one waits until the second is over.
+#[test]
+fn a_trial_that_ended_its_leaf_rests() {
+    let mut ledger = Ledger::default();
+    ledger.ended(ASKS, &marks(0..2), at(0));
+    assert_eq!(ledger.admit(ASKS, at(100)), Stand::Trial);
+    ledger.ended(ASKS, &marks(2..3), at(120));
+    for ms in (200..1100).step_by(100) {
+        let Stand::Refused(after) = ledger.admit(ASKS, at(ms)) else {
+            panic!("another trial after {ms} ms");
+        };
+        assert!(after <= Duration::from_secs(1), "{after:?}");
+    }
+    assert_eq!(ledger.admit(ASKS, at(1120)), Stand::Trial);
+}
+
 /// Callers of a request whose trial went to a leaf that hangs would be refused for as long
 /// as it does.
 #[test]
