--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -157,6 +157,20 @@
     }
 }
 
+/// Sends what ends leafs for as long as it takes to be refused.
+async fn send_deadly(relays: &[Relay]) {
+    let (gap, span) = (Duration::from_millis(1300), Duration::from_secs(10));
+    send(relays, DEADLY, gap, span).await;
+}
+
+/// Mends what ends leafs, and waits until the refusal of it is over.
+async fn mend(stage: &Stage, relays: &[Relay]) {
+    let reply = relays[0].forward(ask("refused", DEADLY)).await;
+    let after = quarantined(&reply).expect("refused");
+    stage.leafs.mend(DEADLY);
+    sleep(after + Duration::from_millis(10)).await;
+}
+
 /// Callers of other requests would be refused with the one at fault.
 /// Their calls run on the leafs that it ends and are lost with it, at each of its tries.
 /// They are answered elsewhere or at their next try, and nothing is held against them.
@@ -254,13 +268,7 @@
 async fn an_entry_that_starts_hears_of_it() {
     let stage = stage(Kind::Idempotent, search());
     let mut relays = entries(&stage, 6).await;
-    send(
-        &relays,
-        DEADLY,
-        Duration::from_millis(1300),
-        Duration::from_secs(10),
-    )
-    .await;
+    send_deadly(&relays).await;
     relays.push(stage.serving(7).await);
     sleep(CONTACT).await;
     let reply = relays[6].forward(ask("late", DEADLY)).await;
@@ -273,17 +281,8 @@
 async fn what_was_mended_is_served_again_everywhere() {
     let stage = stage(Kind::Idempotent, search());
     let relays = entries(&stage, 6).await;
-    send(
-        &relays,
-        DEADLY,
-        Duration::from_millis(1300),
-        Duration::from_secs(10),
-    )
-    .await;
-    let reply = relays[0].forward(ask("refused", DEADLY)).await;
-    let after = quarantined(&reply).expect("refused");
-    stage.leafs.mend(DEADLY);
-    sleep(after + Duration::from_millis(10)).await;
+    send_deadly(&relays).await;
+    mend(&stage, &relays).await;
     let first = relays[0].forward(ask("first", DEADLY)).await;
     assert!(declined(&first).is_none(), "{first:?}");
     sleep(CONTACT).await;
@@ -348,18 +347,9 @@
 async fn records_end_with_what_they_tell() {
     let stage = stage(Kind::Idempotent, search());
     let relays = entries(&stage, 6).await;
-    send(
-        &relays,
-        DEADLY,
-        Duration::from_millis(1300),
-        Duration::from_secs(10),
-    )
-    .await;
+    send_deadly(&relays).await;
     assert_eq!(stage.store.records(), 1);
-    let reply = relays[0].forward(ask("refused", DEADLY)).await;
-    let after = quarantined(&reply).expect("refused");
-    stage.leafs.mend(DEADLY);
-    sleep(after + Duration::from_millis(10)).await;
+    mend(&stage, &relays).await;
     relays[0].forward(ask("first", DEADLY)).await;
     sleep(Duration::from_secs(2)).await;
     assert_eq!(stage.store.records(), 0);
@@ -382,13 +372,7 @@
     let stage = stage(Kind::Idempotent, search());
     let relays = entries(&stage, 6).await;
     stage.store.answers(Answers::Never);
-    send(
-        &relays,
-        DEADLY,
-        Duration::from_millis(1300),
-        Duration::from_secs(10),
-    )
-    .await;
+    send_deadly(&relays).await;
     assert_eq!(stage.store.records(), 0);
     stage.store.answers(Answers::Yes);
     sleep(Duration::from_secs(5)).await;
