--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -378,3 +378,24 @@
     sleep(Duration::from_secs(5)).await;
     assert_eq!(stage.store.records(), 1);
 }
+
+/// An operator who has mended the leafs waits for up to two hours.
+/// Entries tell each other, and the store tells those that start: with all entries stopped
+/// and the record removed nothing is held against the request any more.
+#[tokio::test(start_paused = true)]
+async fn an_operator_lifts_a_refusal() {
+    let stage = stage(Kind::Idempotent, search());
+    let mut relays = entries(&stage, 6).await;
+    send_deadly(&relays).await;
+    let refused = relays[0].forward(ask("refused", DEADLY)).await;
+    assert!(quarantined(&refused).is_some());
+    stage.leafs.mend(DEADLY);
+    relays.clear();
+    stage.store.drop_records();
+    sleep(Duration::from_secs(1)).await;
+    relays = entries(&stage, 6).await;
+    for relay in &relays {
+        let reply = relay.forward(ask("again", DEADLY)).await;
+        assert!(declined(&reply).is_none(), "{reply:?}");
+    }
+}
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -156,6 +156,11 @@
         lock(&self.stored).records.len()
     }
 
+    /// Has an operator remove all records.
+    pub fn drop_records(&self) {
+        lock(&self.stored).records.clear();
+    }
+
     /// Calls so far.
     pub fn calls(&self) -> u64 {
         lock(&self.stored).calls
