--- a/crates/relay/tests/deadly.rs
+++ b/crates/relay/tests/deadly.rs
@@ -10,17 +10,14 @@
 use futures::future::{join, join_all};
 use rstest::rstest;
 use tokio::time::{Instant, sleep};
-use world::{Answers, Ended, Manner, Stage, ask, book, gather, name, peers_address, rule};
+use world::{
+    Answers, CONTACT, ENDED, Ended, Manner, Stage, TRIES, ask, book, gather, name, peers_address,
+    rule,
+};
 
 const SHARDS: [&str; 4] = ["s1", "s2", "s3", "s4"];
 /// What ends its leafs.
 const DEADLY: &str = "/q/deadly";
-/// Leafs that a request may end before the bound on its tries holds.
-const ENDED: usize = 3;
-/// Time in which entries that are in touch know what they must.
-const CONTACT: Duration = Duration::from_secs(4);
-/// Tries that may reach leafs after that.
-const TRIES: usize = 3;
 
 /// Entries that know each other, before leafs that answer after 10 ms.
 async fn entries(stage: &Stage, count: u16) -> Vec<Relay> {
--- a/crates/relay/tests/deadly_model.rs
+++ b/crates/relay/tests/deadly_model.rs
@@ -18,7 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use tokio::time::{Instant, sleep, timeout};
-use world::{Answers, Stage, ask, book, gather, name, peers_address, rule};
+use world::{Answers, CONTACT, ENDED, Stage, TRIES, ask, book, gather, name, peers_address, rule};
 
 const SHARDS: [&str; 3] = ["s1", "s2", "s3"];
 const DEADLY: &str = "/q/deadly";
@@ -27,11 +27,6 @@
 const WORLDS: u64 = 16;
 /// One in which four tries are too late if the store keeps no records.
 const WITHOUT_RECORDS: u64 = 41;
-/// Leafs that a request may end before the bound on its tries holds, time in which
-/// entries that are in touch know it, and tries that may reach leafs after that.
-const ENDED: usize = 3;
-const CONTACT: Duration = Duration::from_secs(4);
-const TRIES: usize = 3;
 /// Longest refusal of what ends no leaf.
 const TRIAL: Duration = Duration::from_secs(1);
 const SPAN: Duration = Duration::from_secs(60);
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -29,6 +29,13 @@
 const DOMAINS: [&str; 3] = ["dub-a", "dub-b", "kdr-c"];
 pub const HOST: &str = "league.example";
 
+/// Leafs that a request may end before the bound on its tries holds.
+pub const ENDED: usize = 3;
+/// Time in which entries that are in touch know what they must.
+pub const CONTACT: Duration = Duration::from_secs(4);
+/// Tries that may reach leafs after that.
+pub const TRIES: usize = 3;
+
 /// Everything that the entries of one test share.
 #[derive(Clone, Default)]
 pub struct Stage {
