Evacuated failure domains: their leafs get no calls

Change: the requests are a list of their own, which travels as the leafs do: the entry of each domain that watches the store passes it on, under the store's revisions, so that an old list or a late peer changes nothing. An entry serves once it knows the list; one that starts without the store takes it from a peer. In the table the leafs are barred: no first call, hedge, retry or trial chooses them, a shard without others is missing, a query below its least share is refused at once and has made no call. Idle connections to them are closed. Callers are still served by entries of the domain.

An entry that hears from one of an earlier version, which tells nothing of this list, asks the store for it a second after it knows the rest.

Ruled out: passing the requests on with the leafs' list. Both are watched apart, and a follower that has heard of a later change of the one would miss an earlier one of the other.

Tests: entries that the store turns away, that start without it, after a loss of all power, requests in quick succession, shards that lie there alone, drawn worlds; the entry as a process.

--- a/crates/relay/src/ground.rs
+++ b/crates/relay/src/ground.rs
@@ -17,6 +17,7 @@
 use crate::{
     allot::Allotment,
     callers::{Callers, Longest},
+    evacuations::Evacuations,
     leafs::Leafs,
     settings::{ExtraCalls, RelaySettings, Times},
 };
@@ -61,6 +62,7 @@
 pub(crate) struct Ground {
     pub(crate) book: Option<Arc<RouteBook>>,
     pub(crate) leafs: Leafs,
+    pub(crate) evacuations: Evacuations,
     pub(crate) places: BTreeMap<Ix, Place>,
     pub(crate) callers: Callers,
     pub(crate) rules: BTreeMap<String, RuleState>,
@@ -86,6 +88,7 @@
         Self {
             book: None,
             leafs: Leafs::new(times.lapse(), times.linger()),
+            evacuations: Evacuations::default(),
             places: BTreeMap::new(),
             callers: Callers::default(),
             rules: BTreeMap::new(),
@@ -127,7 +130,7 @@
         let mut found: BTreeMap<&DomainName, BTreeSet<&ServiceName>> = BTreeMap::new();
         let mut leafs = 0;
         for (service, domain) in self.leafs.places() {
-            if asked.contains(service) {
+            if asked.contains(service) && !self.evacuations.covers(domain) {
                 found.entry(domain).or_default().insert(service);
                 leafs += 1;
             }
--- a/crates/relay/src/leafs.rs
+++ b/crates/relay/src/leafs.rs
@@ -150,6 +150,14 @@
             .map(|entry| (&entry.service, &entry.domain))
     }
 
+    /// The leafs of a failure domain.
+    pub fn within<'a>(&'a self, domain: &'a DomainName) -> impl Iterator<Item = &'a LeafId> {
+        let known = self.known.iter();
+        known
+            .filter(move |(_, known)| known.entry.domain == *domain)
+            .map(|(id, _)| id)
+    }
+
     /// The leafs of a service that are not leaving.
     pub fn of<'a>(
         &'a self,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -68,6 +68,8 @@
     pub(crate) passed: Counter,
     pub(crate) members: Gauge,
     pub(crate) leafs: Gauge,
+    pub(crate) evacuated: Gauge,
+    pub(crate) evacuated_calls: Gauge,
     pub(crate) book: Gauge,
     behind: Gauge,
     readings: Family<KindLabels, Counter>,
@@ -94,6 +96,8 @@
             passed: Counter::default(),
             members: Gauge::default(),
             leafs: Gauge::default(),
+            evacuated: Gauge::default(),
+            evacuated_calls: Gauge::default(),
             book: Gauge::default(),
             behind: Gauge::default(),
             readings: Family::default(),
@@ -124,6 +128,10 @@
         r.register("evictions", "Leafs evicted", self.evictions.clone());
         r.register("members", "Entries that serve", self.members.clone());
         r.register("leafs", "Leafs that are known", self.leafs.clone());
+        let evacuated = "Failure domains that are evacuated";
+        r.register("evacuated_domains", evacuated, self.evacuated.clone());
+        let calls = "Calls under way to leafs of evacuated domains";
+        r.register("evacuated_calls", calls, self.evacuated_calls.clone());
         r.register("book_version", "Version in force", self.book.clone());
         let behind = "Milliseconds since a peer told of a newer version, 0 if none has";
         r.register("upstream_moves", "Changes of upstream", self.moves.clone());
--- a/crates/relay/src/moves.rs
+++ b/crates/relay/src/moves.rs
@@ -5,6 +5,7 @@
 use chestnut_unit::{LeafId, Time};
 
 use crate::{
+    evacuations::Shift,
     ground::{Place, State},
     leafs::{LeafEntry, Moved},
     settings::RelaySettings,
@@ -54,6 +55,8 @@
         false => Distance::Far,
     };
     state.table.set_far(ix, distance == Distance::Far);
+    let barred = state.extra.evacuations.covers(&entry.domain);
+    state.table.set_barred(ix, barred, now);
     let place = Place {
         leaf: id.clone(),
         address: entry.address,
@@ -66,6 +69,30 @@
     set_doubt(state, id, false);
 }
 
+/// Takes changes of the failure domains that are evacuated into the table. Returns the
+/// leafs that get no more calls.
+pub(crate) fn take_shifts(state: &mut State, shifts: &[Shift], now: Time) -> Vec<LeafId> {
+    let mut emptied = Vec::new();
+    for shift in shifts {
+        let (domain, barred) = match shift {
+            Shift::Emptied(domain) => (domain, true),
+            Shift::Refilled(domain) => (domain, false),
+        };
+        for id in state.extra.leafs.within(domain) {
+            if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
+                state.table.set_barred(ix, barred, now);
+            }
+            if barred {
+                emptied.push(id.clone());
+            }
+        }
+    }
+    if !shifts.is_empty() {
+        state.extra.homes = None;
+    }
+    emptied
+}
+
 fn gone(state: &mut State, id: &LeafId, now: Time) {
     set_leaving(state, id, now);
     if let Some(ix) = state.table.find(&Backend::Leaf(id.clone())) {
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -9,18 +9,24 @@
 use chestnut_book::BookVersion;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, FeedError, FeedService, Item, RawBatch, RawBook};
-use chestnut_unit::LeafId;
+use chestnut_unit::{DomainName, LeafId};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
 use slog::debug;
 use tokio::{sync::watch, time::timeout};
 
-use crate::{LeafEntry, Mirror, Upstream, history::History, shared::Shared, sources::LEAFS};
+use crate::{
+    LeafEntry, Mirror, Upstream,
+    history::History,
+    shared::Shared,
+    sources::{EVACUATIONS, LEAFS},
+};
 
 /// What is passed on.
 pub(crate) struct Passed {
     pub(crate) books: Mutex<History>,
     pub(crate) leafs: Mutex<Mirror<(LeafId, LeafEntry)>>,
+    pub(crate) evacuations: Mutex<Mirror<DomainName>>,
     /// Raised with every answer of a feed.
     pub(crate) told: watch::Sender<u64>,
 }
@@ -30,6 +36,7 @@
         Self {
             books: Mutex::default(),
             leafs: Mutex::default(),
+            evacuations: Mutex::default(),
             told: watch::Sender::new(0),
         }
     }
@@ -38,15 +45,28 @@
 /// The service to other entries.
 pub(crate) struct Passing(pub(crate) Arc<Shared>);
 
+/// What is asked of a feed.
+#[derive(Clone, Copy)]
+enum Wanted {
+    All,
+    Since(u64),
+}
+
+impl Wanted {
+    fn of<T: Clone>(self, mirror: &Mirror<T>) -> Result<Batch<T>, FeedError> {
+        match self {
+            Self::All => mirror.all(),
+            Self::Since(revision) => mirror.since(revision),
+        }
+    }
+}
+
 impl Passing {
-    /// What the feed of leafs tells, the only one that there is.
-    fn tell(
-        &self,
-        feed: &str,
-        leafs: impl Fn(&Mirror<(LeafId, LeafEntry)>) -> Result<Batch<(LeafId, LeafEntry)>, FeedError>,
-    ) -> Result<RawBatch, FeedError> {
+    fn tell(&self, feed: &str, wanted: Wanted) -> Result<RawBatch, FeedError> {
+        let passed = &self.0.passed;
         match feed {
-            LEAFS => raw(leafs(&lock(&self.0.passed.leafs))?),
+            LEAFS => raw(wanted.of(&lock(&passed.leafs))?),
+            EVACUATIONS => raw(wanted.of(&lock(&passed.evacuations))?),
             _ => Err(FeedError::Refused(format!("no feed {feed}"))),
         }
     }
@@ -59,7 +79,7 @@
             pulses.borrow_and_update();
             // Changes come from an entry that hears of the store itself only.
             self.pulse()?;
-            let batch = self.tell(feed, |leafs| leafs.since(revision))?;
+            let batch = self.tell(feed, Wanted::Since(revision))?;
             if !batch.items.is_empty() {
                 return Ok(batch);
             }
@@ -109,7 +129,7 @@
     /// meanwhile can serve by it as this one does, instead of refusing every caller
     /// until the store is back. What changed comes from elsewhere.
     fn all(&self, feed: &str) -> Result<RawBatch, FeedError> {
-        self.tell(feed, Mirror::all)
+        self.tell(feed, Wanted::All)
     }
 
     fn follow(
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,7 +10,7 @@
 use chestnut_book::{CallerLimits, RouteBook};
 use chestnut_flow::{Host, lock};
 use chestnut_port::{Feed, FeedService, Forward, Probes, Traffic};
-use chestnut_unit::LeafId;
+use chestnut_unit::{DomainName, LeafId};
 use futures::future::BoxFuture;
 use slog::info;
 use tokio::{sync::watch, task::JoinSet, time::sleep};
@@ -43,6 +43,8 @@
     pub book: Arc<dyn Feed<RouteBook>>,
     /// The leafs, in the store.
     pub leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
+    /// The failure domains that are evacuated, in the store.
+    pub evacuations: Arc<dyn Feed<DomainName>>,
     /// The feeds of other entries.
     pub peers: FeedBinder,
     /// The adverts of the entries.
@@ -87,6 +89,7 @@
         let sources = Arc::new(Sources {
             book: ports.book,
             leafs: ports.leafs,
+            evacuations: ports.evacuations,
             peers: (ports.peers)(Arc::new(Passing(shared.clone()))).await?,
         });
         let mut set = JoinSet::new();
@@ -97,6 +100,7 @@
         ));
         set.spawn(feeds::book(shared.clone(), sources.clone()));
         set.spawn(feeds::leafs(shared.clone(), sources.clone()));
+        set.spawn(feeds::evacuations(shared.clone(), sources.clone()));
         set.spawn(pull::run(shared.clone(), sources));
         set.spawn(adverts::find(
             shared.clone(),
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -114,10 +114,15 @@
         let bytes = shared.traffic.get(purpose, distance, flow);
         shared.metrics.set_bytes(purpose, distance, flow, bytes);
     }
-    let (tally, gauge) = {
+    let (tally, gauge, barred) = {
         let state = lock(&shared.cell.state);
-        (state.table.tally(), state.table.gauge())
+        (
+            state.table.tally(),
+            state.table.gauge(),
+            state.table.outstanding_barred(),
+        )
     };
+    shared.metrics.evacuated_calls.set(i64::from(barred));
     shared.metrics.set_extra("earned", tally.earned);
     shared.metrics.set_extra("lost", tally.lost);
     shared.metrics.set_extra("spent", tally.spent);
--- a/crates/relay/src/sources.rs
+++ b/crates/relay/src/sources.rs
@@ -4,13 +4,15 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_port::{Feed, FeedError, FeedNet, PeerPulse, RawBook};
-use chestnut_unit::LeafId;
+use chestnut_unit::{DomainName, LeafId};
 use futures::{FutureExt, future::BoxFuture};
 
 use crate::{LeafEntry, Upstream};
 
 /// The feed of leafs, among entries.
 pub(crate) const LEAFS: &str = "leafs";
+/// The feed of evacuated failure domains, among entries.
+pub(crate) const EVACUATIONS: &str = "evacuations";
 
 /// The port to what other entries pass on.
 pub trait FeedPeers: Send + Sync {
@@ -22,6 +24,9 @@
 
     /// The leafs, as the entry at `to` hears them.
     fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<(LeafId, LeafEntry)>>;
+
+    /// The failure domains that are evacuated, as the entry at `to` hears of them.
+    fn evacuations(&self, to: SocketAddr) -> Arc<dyn Feed<DomainName>>;
 }
 
 impl FeedPeers for FeedNet {
@@ -36,12 +41,17 @@
     fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<(LeafId, LeafEntry)>> {
         Arc::new(self.feed(to, LEAFS))
     }
+
+    fn evacuations(&self, to: SocketAddr) -> Arc<dyn Feed<DomainName>> {
+        Arc::new(self.feed(to, EVACUATIONS))
+    }
 }
 
 /// The feeds of the store and of other entries.
 pub(crate) struct Sources {
     pub(crate) book: Arc<dyn Feed<RouteBook>>,
     pub(crate) leafs: Arc<dyn Feed<(LeafId, LeafEntry)>>,
+    pub(crate) evacuations: Arc<dyn Feed<DomainName>>,
     pub(crate) peers: Arc<dyn FeedPeers>,
 }
 
@@ -52,4 +62,11 @@
             Upstream::Peer(peer) => self.peers.leafs(peer),
         }
     }
+
+    pub(crate) fn evacuations(&self, from: Upstream) -> Arc<dyn Feed<DomainName>> {
+        match from {
+            Upstream::Store => self.evacuations.clone(),
+            Upstream::Peer(peer) => self.peers.evacuations(peer),
+        }
+    }
 }
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -5,13 +5,14 @@
 use chestnut_book::RouteBook;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, Item};
-use chestnut_unit::{LeafId, Time};
+use chestnut_unit::{DomainName, LeafId, Time};
 use slog::{info, warn};
 use tokio::time::sleep_until;
 
 use crate::{
+    evacuations::Shift,
     leafs::{LeafEntry, Leafs, Moved},
-    moves::take_moves,
+    moves::{take_moves, take_shifts},
     shared::{Phase, Shared},
     upstream::Upstream,
 };
@@ -127,6 +128,56 @@
     }
 }
 
+/// Takes an answer of the feed of evacuations, to pass it on and to act by it.
+pub(crate) fn pass_evacuations(shared: &Shared, batch: Batch<DomainName>, whole: bool) {
+    {
+        let mut passed = lock(&shared.passed.evacuations);
+        match whole {
+            true => passed.listed(&batch),
+            false => passed.changed(&batch),
+        }
+    }
+    let now = shared.now();
+    let mut shifts = Vec::new();
+    let emptied = {
+        let mut state = lock(&shared.cell.state);
+        let evacuations = &mut state.extra.evacuations;
+        match whole {
+            true => evacuations.listed(batch.items, &mut shifts),
+            false => {
+                for item in batch.items {
+                    evacuations.changed(item, &mut shifts);
+                }
+            }
+        }
+        let count = evacuations.domains().count();
+        shared.metrics.evacuated.set(count as i64);
+        take_shifts(&mut state, &shifts, now)
+    };
+    for id in &emptied {
+        shared.forward.forget(id);
+    }
+    tell_shifts(shared, &shifts, batch.revision);
+    serve_if_ready(shared);
+}
+
+fn tell_shifts(shared: &Shared, shifts: &[Shift], revision: u64) {
+    for shift in shifts {
+        let (word, domain) = match shift {
+            Shift::Emptied(domain) => ("is evacuated, its leafs get no calls", domain),
+            Shift::Refilled(domain) => ("is back, its leafs may be called", domain),
+        };
+        let leafs = {
+            let state = lock(&shared.cell.state);
+            state.extra.leafs.within(domain).count()
+        };
+        info!(shared.host.log, "hold: domain {domain} {word}"; "revision" => revision, "leafs" => leafs);
+        if leafs == 0 {
+            warn!(shared.host.log, "hold: no leaf is known in domain {domain}"; "revision" => revision);
+        }
+    }
+}
+
 /// Takes books that the store told of.
 pub(crate) fn take_book(shared: &Shared, batch: Batch<RouteBook>) {
     for item in batch.items {
@@ -145,13 +196,31 @@
     serve_if_ready(shared);
 }
 
-/// Lets the entry serve once it knows the book and the leafs.
+/// What an entry still has to know before it serves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lack {
+    /// The book or the leafs.
+    More,
+    /// Only which domains are evacuated.
+    Evacuations,
+    /// Nothing.
+    Nothing,
+}
+
+pub(crate) fn lacks(shared: &Shared) -> Lack {
+    let state = lock(&shared.cell.state);
+    let ground = &state.extra;
+    match ground.evacuations.is_known() {
+        _ if ground.book.is_none() || ground.leafs.is_empty() => Lack::More,
+        false => Lack::Evacuations,
+        true => Lack::Nothing,
+    }
+}
+
+/// Lets the entry serve once it knows the book, the leafs and which of their domains are
+/// evacuated.
 pub(crate) fn serve_if_ready(shared: &Shared) {
-    let known = {
-        let state = lock(&shared.cell.state);
-        state.extra.book.is_some() && !state.extra.leafs.is_empty()
-    };
-    let serves = known
+    let serves = lacks(shared) == Lack::Nothing
         && shared.phase.send_if_modified(|phase| {
             let starting = *phase == Phase::Starting;
             if starting {
--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -4,7 +4,7 @@
 
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Feed, FeedError, Freshness};
-use chestnut_unit::Time;
+use chestnut_unit::{DomainName, Time};
 use slog::{debug, info, warn};
 use tokio::time::{sleep, sleep_until};
 
@@ -13,8 +13,8 @@
     follow::{Follower, Next},
     pulse::Pulse,
     shared::Shared,
-    sources::{LEAFS, Sources},
-    take::{lapses, pass_leafs, take_book},
+    sources::{EVACUATIONS, LEAFS, Sources},
+    take::{Lack, lacks, lapses, pass_evacuations, pass_leafs, take_book},
 };
 
 /// The book, as the metrics and the log call it.
@@ -67,10 +67,17 @@
 /// Takes all leafs that the entry at `from` has heard of. An entry that starts while the
 /// store is lost serves by them, and by the book of which that entry tells.
 pub(crate) async fn adopt(shared: &Shared, sources: &Sources, from: SocketAddr) {
-    let leafs = sources.peers.leafs(from);
-    let Ok(leafs) = leafs.list(Freshness::Stale).await else {
+    let (leafs, evacuations) = (sources.peers.leafs(from), sources.peers.evacuations(from));
+    let lists = tokio::join!(
+        leafs.list(Freshness::Stale),
+        evacuations.list(Freshness::Stale)
+    );
+    let (Ok(leafs), Ok(evacuations)) = lists else {
         return;
     };
+    if lock(&shared.passed.evacuations).is_behind(&evacuations) {
+        pass_evacuations(shared, evacuations, true);
+    }
     // The store may have answered meanwhile. An older list beside its watch would
     // leave leafs missing for good of which the watch has nothing more to tell.
     if lock(&shared.passed.leafs).is_behind(&leafs) {
@@ -87,6 +94,38 @@
     tokio::join!(follow, lapses(&shared));
 }
 
+/// Follows which failure domains are evacuated, for as long as the entry runs.
+pub(crate) async fn evacuations(shared: Arc<Shared>, sources: Arc<Sources>) {
+    let take = |batch, whole| pass_evacuations(&shared, batch, whole);
+    let feed = |from| Some(sources.evacuations(from));
+    let follow = follow(&shared, feed, Calls::GivenUp, EVACUATIONS, take);
+    tokio::join!(follow, ask_store(&shared, &*sources.evacuations));
+}
+
+/// Asks the store which domains are evacuated while no peer tells. One of an earlier
+/// version never does, and the entry would not serve until it is replaced.
+async fn ask_store(shared: &Shared, evacuations: &dyn Feed<DomainName>) {
+    /// Time that a peer has to tell, once the entry knows the book and the leafs.
+    const PATIENCE: Duration = Duration::from_secs(1);
+    loop {
+        sleep(PATIENCE).await;
+        match lacks(shared) {
+            Lack::Nothing => return,
+            Lack::More => continue,
+            Lack::Evacuations => shared.metrics.count_store(EVACUATIONS),
+        }
+        match evacuations.list(Freshness::Now).await {
+            Ok(batch) if lock(&shared.passed.evacuations).is_behind(&batch) => {
+                pass_evacuations(shared, batch, true);
+            }
+            Ok(_) => {}
+            Err(error) => {
+                warn!(shared.host.log, "watch: can't read which domains are evacuated"; "why" => %error);
+            }
+        }
+    }
+}
+
 async fn follow<T>(
     shared: &Shared,
     feed: impl Fn(Upstream) -> Option<Arc<dyn Feed<T>>>,
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -74,6 +74,7 @@
         let ports = RelayPorts {
             book: Arc::new(self.store.reached_by(n, &self.feeds.1)),
             leafs: Arc::new(self.store.reached_by(n, &self.feeds.1)),
+            evacuations: Arc::new(self.store.reached_by(n, &self.feeds.1)),
             peers: Box::new(move |service| {
                 lock(&feeds.0).insert(own, service);
                 async move { Ok(Arc::new(feeds) as Arc<dyn FeedPeers>) }.boxed()
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -15,6 +15,7 @@
     RawBook,
 };
 use chestnut_relay::FeedPeers;
+use chestnut_unit::DomainName;
 use futures::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
 use tokio::{
@@ -245,6 +246,10 @@
     fn leafs(&self, to: SocketAddr) -> Arc<dyn Feed<LeafItem>> {
         Arc::new(FakePeerFeed(self.clone(), to, "leafs"))
     }
+
+    fn evacuations(&self, to: SocketAddr) -> Arc<dyn Feed<DomainName>> {
+        Arc::new(FakePeerFeed(self.clone(), to, "evacuations"))
+    }
 }
 
 impl FakeFeeds {
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -11,7 +11,7 @@
 use chestnut_port::{Batch, Content, Feed, FeedError, Freshness, Item};
 use chestnut_quarantine::Fingerprint;
 use chestnut_relay::{Advert, Adverts, LeafEntry, Record, Records};
-use chestnut_unit::{LeafId, MemberId};
+use chestnut_unit::{DomainName, LeafId, MemberId};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
 use tokio::{
@@ -43,6 +43,8 @@
     gone: Vec<(u64, LeafId)>,
     /// Entries that another writer made unreadable.
     malformed: BTreeMap<LeafId, u64>,
+    /// Evacuated domains, and when each was last evacuated or came back.
+    evacuated: BTreeMap<DomainName, (u64, bool)>,
     adverts: BTreeMap<MemberId, Advert>,
     records: BTreeMap<Fingerprint, Record>,
     silent: bool,
@@ -103,6 +105,25 @@
         self.changed.notify_waiters();
     }
 
+    /// Has the operator evacuate a failure domain.
+    pub fn evacuate(&self, domain: &str) {
+        self.set_evacuated(domain, true);
+    }
+
+    /// Has the operator take that back.
+    pub fn refill(&self, domain: &str) {
+        self.set_evacuated(domain, false);
+    }
+
+    fn set_evacuated(&self, domain: &str, evacuated: bool) {
+        let mut stored = lock(&self.stored);
+        stored.revision += 1;
+        let revision = stored.revision;
+        let domain = DomainName::new(domain).unwrap();
+        stored.evacuated.insert(domain, (revision, evacuated));
+        self.changed.notify_waiters();
+    }
+
     pub fn answers(&self, answers: Answers) {
         let mut stored = lock(&self.stored);
         stored.silent = answers == Answers::Never;
@@ -377,6 +398,68 @@
     }
 }
 
+fn evacuation_item(domain: &DomainName, evacuated: bool) -> Item<DomainName> {
+    Item {
+        name: domain.to_string(),
+        content: match evacuated {
+            true => Content::Is(domain.clone()),
+            false => Content::Deleted,
+        },
+    }
+}
+
+impl Feed<DomainName> for FakeStore {
+    fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<DomainName>, FeedError>> {
+        async move {
+            self.check().await?;
+            let stored = lock(&self.stored);
+            let there = stored.evacuated.iter().filter(|(_, (_, there))| *there);
+            Ok(Batch {
+                items: there
+                    .map(|(domain, _)| evacuation_item(domain, true))
+                    .collect(),
+                revision: stored.revision,
+            })
+        }
+        .boxed()
+    }
+
+    fn pulse(&self) -> BoxFuture<'_, Result<u64, FeedError>> {
+        Feed::<RouteBook>::pulse(self)
+    }
+
+    fn watch(
+        &self,
+        after: u64,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Batch<DomainName>, FeedError>> {
+        async move {
+            self.check().await?;
+            let find = |stored: &Stored| {
+                let new = stored.evacuated.iter().filter(|(_, (at, _))| *at > after);
+                let items: Vec<_> = new
+                    .map(|(domain, (_, there))| evacuation_item(domain, *there))
+                    .collect();
+                (!items.is_empty()).then_some(Batch {
+                    items,
+                    revision: stored.revision,
+                })
+            };
+            Ok(self.until(wait, find, nothing).await)
+        }
+        .boxed()
+    }
+
+    fn check(&self, after: u64) -> BoxFuture<'_, Result<Batch<DomainName>, FeedError>> {
+        async move {
+            let watch = Feed::<DomainName>::watch(self, after, Duration::from_millis(1));
+            let answer = timeout(CHECK_WAIT, watch).await;
+            answer.unwrap_or_else(|_| Err(FeedError::Unavailable("silent".to_owned())))
+        }
+        .boxed()
+    }
+}
+
 impl Adverts for FakeStore {
     fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Vec<Advert>, FeedError>> {
         async move {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -65,6 +65,7 @@
     silent: Option<(Time, Time)>,
     pub(crate) faults: Faults,
     leaving: bool,
+    barred: bool,
     doubted: bool,
     pub(crate) far: bool,
     pub(crate) since: Time,
@@ -129,6 +130,7 @@
             silent: None,
             faults: Faults::default(),
             leaving: false,
+            barred: false,
             doubted: false,
             far: false,
             since: now,
@@ -169,6 +171,22 @@
         state.leaving = leaving;
     }
 
+    /// Bars a back end from all calls, or lets it have calls again: its failure domain
+    /// is being emptied. What is known of it stays, but for its warmth.
+    pub fn set_barred(&mut self, ix: Ix, barred: bool, now: Time) {
+        let state = &mut self.states[ix.index()];
+        if state.barred && !barred {
+            state.since = now;
+        }
+        state.barred = barred;
+    }
+
+    /// Whether the back end is barred.
+    #[must_use]
+    pub fn is_barred(&self, ix: Ix) -> bool {
+        self.states[ix.index()].barred
+    }
+
     /// Takes a hint of the health or load endpoint: the factor, 1 or more, by
     /// which the back end looks worse than its calls tell. A hint only orders
     /// back ends; it never evicts one, because the endpoints lag and lie.
@@ -195,6 +213,13 @@
         self.states[ix.index()].outstanding
     }
 
+    /// Calls that wait for answers of barred back ends.
+    #[must_use]
+    pub fn outstanding_barred(&self) -> u32 {
+        let barred = self.states.iter().filter(|state| state.barred);
+        barred.map(|state| state.outstanding).sum()
+    }
+
     /// Whether the back end is leaving.
     #[must_use]
     pub fn is_leaving(&self, ix: Ix) -> bool {
@@ -389,7 +414,7 @@
         let silent = state
             .silent
             .is_some_and(|(first, last)| last.since(first) >= DARK_SPAN);
-        state.leaving || silent || self.evicted_until(ix, now).is_some()
+        state.leaving || state.barred || silent || self.evicted_until(ix, now).is_some()
     }
 
     /// Marks a back end as lacking a snapshot for a while.
@@ -404,7 +429,7 @@
     pub fn is_open(&self, ix: Ix, version: IndexVersion, now: Time) -> bool {
         let state = &self.states[ix.index()];
         let lacking = state.lacks.get(&version).is_some_and(|until| now < *until);
-        !state.leaving && !lacking
+        !state.leaving && !state.barred && !lacking
     }
 
     /// Whether a back end rests after refusing a call.
