A third list that is watched: what it costs the store while it is lost

The test of an outage at 20 entries went red with the list of evacuations: 49 calls where 44 were allowed. The bound was two watchers with a pulse a second and two watches each; there are three watches now. Of the 49 one was of an entry that turned to the store for a moment: it waits a quarter of a second before it reads which domains are evacuated, unless it has just started. 48 now, by the test.

--- a/crates/relay/src/watch.rs
+++ b/crates/relay/src/watch.rs
@@ -145,6 +145,9 @@
             replaced(shared, upstream).await;
             continue;
         };
+        if what == EVACUATIONS && follower.known() > 0 && is_passing(shared, upstream).await {
+            continue;
+        }
         if upstream == Upstream::Store {
             shared.metrics.count_store(what);
         }
@@ -193,6 +196,18 @@
     }
 }
 
+/// Whether this entry turns to the store for a moment only, as it does while it looks for
+/// peers that have not lost it. What changes seldom need not be read anew then.
+async fn is_passing(shared: &Shared, upstream: Upstream) -> bool {
+    /// Time after which it is taken to stay.
+    const STAYS: Duration = Duration::from_millis(250);
+    if upstream != Upstream::Store {
+        return false;
+    }
+    sleep(STAYS).await;
+    *shared.upstream.borrow() != Some(upstream)
+}
+
 /// Counts a reading and logs one that ended without its answer: what it had read
 /// is lost, and the next one begins anew.
 fn tell_reading<T>(
