Test of a frozen keeper: wait until all its threads stand still

Seen once: the caller heard "done" where "unknown" was expected. Cause: SIGSTOP is sent before the process stands still, and the keeper answered in between. The test waits until each thread's state says so. Were the answer "done" then, it would be a fault of the product.

--- a/crates/cli/tests/blackbox/bench.rs
+++ b/crates/cli/tests/blackbox/bench.rs
@@ -43,6 +43,28 @@
         kill(pid, signal).unwrap();
     }
 
+    /// Stops the process and waits until all its threads stand still. The signal is sent
+    /// before they do: one that still ran answered as if nothing were wrong.
+    pub async fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+        let until = tokio::time::Instant::now() + PATIENCE;
+        while !self.stands_still() {
+            assert!(tokio::time::Instant::now() < until, "still running");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    fn stands_still(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.0.id())).unwrap();
+        tasks.map(Result::unwrap).all(|task| {
+            // A thread that has ended since the folder was read runs no more.
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            // The state follows the name, which may hold anything, in parentheses.
+            let state = stat.rsplit_once(") ").map(|(_, rest)| rest);
+            state.is_none_or(|state| state.starts_with('T'))
+        })
+    }
+
     /// Whether the process ended by itself with success.
     pub async fn ended_well(&mut self) -> bool {
         let until = tokio::time::Instant::now() + PATIENCE;
--- a/crates/cli/tests/blackbox/submissions.rs
+++ b/crates/cli/tests/blackbox/submissions.rs
@@ -72,7 +72,7 @@
     let bench = Bench::start().await;
     let ticket = bench.ticket(0).await;
     let keeper = bench.entries[0].as_ref().unwrap();
-    keeper.signal(Signal::SIGSTOP);
+    keeper.freeze().await;
     let first = bench.submit(1, &ticket, "frozen").await;
     assert_eq!(first["run"], "unknown", "{first}");
     keeper.signal(Signal::SIGCONT);
