Operators empty and refill failure domains with chestnut

An object kind of its own, evacuation, named by its domain: accepted by a conditional write, spread as templates are, never taken back by an old version. Leafs of an evacuated domain are barred where they are held and left out of all routes, so that no peer is asked for their parts. chestnut evacuate, refill and evacuations; targets shows their leafs as evacuated, with the calls that are still under way.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 #![warn(clippy::unwrap_used)]
 
 mod client;
+mod evacuate;
 mod objects;
 mod show;
 mod status;
@@ -10,6 +11,7 @@
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 use chestnut_conf::Kind;
+use chestnut_unit::DomainName;
 use clap::{CommandFactory, Parser, Subcommand};
 use clap_complete::Shell;
 
@@ -53,6 +55,28 @@
         #[command(subcommand)]
         action: Action,
     },
+    /// Empty a failure domain: its leafs get no calls until it is refilled.
+    ///
+    /// Entries of the domain go on serving callers. A shard all of whose leafs
+    /// lie there is missing from answers, which say so.
+    Evacuate {
+        /// The failure domain.
+        domain: DomainName,
+        /// Who asks for it, for the history.
+        #[arg(long, default_value = "")]
+        by: String,
+    },
+    /// Have the leafs of an evacuated failure domain called again.
+    Refill {
+        /// The failure domain.
+        domain: DomainName,
+        /// Who asks for it, for the history.
+        #[arg(long, default_value = "")]
+        by: String,
+    },
+    /// List evacuated failure domains, and the calls that are under way from the
+    /// asked entry to leafs there. A domain is empty when each entry shows none.
+    Evacuations,
     /// Show the members, and which versions are in force at which entry.
     ///
     /// Every member is asked directly. One that can't be asked is listed as
@@ -139,6 +163,9 @@
         Command::Organisation { action } => {
             objects::run(&client, Kind::Organisation, action, json).await
         }
+        Command::Evacuate { domain, by } => evacuate::set(&client, &domain, true, &by, json).await,
+        Command::Refill { domain, by } => evacuate::set(&client, &domain, false, &by, json).await,
+        Command::Evacuations => evacuate::list(&client, json).await,
         Command::Status => status::run(&client, json).await,
         Command::Entries => show::entries(&client, json).await,
         Command::Targets => show::targets(&client, json).await,
--- a/crates/cli/tests/blackbox/main.rs
+++ b/crates/cli/tests/blackbox/main.rs
@@ -3,6 +3,7 @@
 
 mod bench;
 mod edits;
+mod evacuations;
 mod junk;
 mod queries;
 mod stops;
--- a/crates/conf/src/book.rs
+++ b/crates/conf/src/book.rs
@@ -1,11 +1,14 @@
 //! The copy of the configuration that an entry acts on.
 
-use std::{collections::BTreeMap, ops::Bound};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    ops::Bound,
+};
 
-use chestnut_unit::{OrgName, TemplateName};
+use chestnut_unit::{DomainName, OrgName, TemplateName};
 use serde::de::DeserializeOwned;
 
-use crate::{Kind, Object, ObjectKey, OrgPolicy, Organisation, Stored, Template};
+use crate::{Evacuation, Kind, Object, ObjectKey, OrgPolicy, Organisation, Stored, Template};
 
 /// What became of an object offered to the book.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -155,6 +158,20 @@
         ))
     }
 
+    /// Failure domains that are evacuated.
+    #[must_use]
+    pub fn evacuated(&self) -> BTreeSet<DomainName> {
+        let names = self.list(Kind::Evacuation).map(|(name, _)| name);
+        let evacuated = names.filter(|name| {
+            let spec = self.parse_spec::<Evacuation>(Kind::Evacuation, name);
+            spec.is_some_and(|(_, spec)| spec.evacuated)
+        });
+        // The check of an edit refuses names that are none.
+        evacuated
+            .filter_map(|name| DomainName::new(name).ok())
+            .collect()
+    }
+
     /// A template, parsed.
     #[must_use]
     pub fn template(&self, name: &TemplateName) -> Option<(u64, Template)> {
--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod book;
 mod error;
+mod evacuation;
 mod object;
 mod organisation;
 mod policy;
@@ -29,6 +30,7 @@
 
 pub use book::{Applied, Book, BookDigest, Held, Versions};
 pub use error::{CheckError, SettingsError};
+pub use evacuation::Evacuation;
 pub use object::{EDITS_KEPT, Edit, Kind, Object, ObjectKey, Stored};
 pub use organisation::{CallParams, Organisation};
 pub use policy::{CallPolicy, OrgPolicy, PolicyError};
--- a/crates/conf/src/object.rs
+++ b/crates/conf/src/object.rs
@@ -22,17 +22,20 @@
     Service,
     /// Layouts of index versions, written by the platform.
     Layout,
+    /// Which failure domains are evacuated, edited by operators.
+    Evacuation,
     /// Batches of refusal records, written by entries.
     Refusal,
 }
 
 impl Kind {
     /// The kinds that every entry keeps a copy of.
-    pub const SPREAD: [Kind; 4] = [
+    pub const SPREAD: [Kind; 5] = [
         Kind::Template,
         Kind::Organisation,
         Kind::Service,
         Kind::Layout,
+        Kind::Evacuation,
     ];
 
     /// The word in paths of the object API.
@@ -43,6 +46,7 @@
             Self::Organisation => "organisation",
             Self::Service => "service",
             Self::Layout => "layout",
+            Self::Evacuation => "evacuation",
             Self::Refusal => "refusal",
         }
     }
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -6,7 +6,7 @@
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, Item};
 use chestnut_unit::{DomainName, LeafId, Time};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use tokio::time::sleep_until;
 
 use crate::{
@@ -139,7 +139,11 @@
     for moved in moves {
         let (word, id) = match moved {
             // Told with each heartbeat of a leaf that warms up.
-            Moved::Cooled(..) => continue,
+            Moved::Cooled(id, until) => {
+                let left = until.since(shared.now()).as_millis() as u64;
+                debug!(shared.host.log, "hold: leaf {id} is cold"; "revision" => revision, "left_ms" => left);
+                continue;
+            }
             Moved::Came(id, _) => ("takes work", id),
             Moved::Reborn(id, _) => ("has started again", id),
             Moved::Outdated(id) => ("has started again since, an old entry is passed over", id),
--- a/crates/tier/src/edit.rs
+++ b/crates/tier/src/edit.rs
@@ -7,8 +7,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use chestnut_conf::{Edit, Kind, Object, ObjectKey, Organisation, Stored, Template};
+use chestnut_conf::{Edit, Evacuation, Kind, Object, ObjectKey, Organisation, Stored, Template};
 use chestnut_port::PlatformError;
+use chestnut_unit::DomainName;
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -153,7 +154,13 @@
             };
             org.check(&template).map_err(wrong)
         }
-        kind => {
+        Kind::Evacuation => {
+            let _: Evacuation = parse(&ask.spec)?;
+            let name = DomainName::new(&ask.key.name);
+            name.map(drop)
+                .map_err(|error| EditError::Check(error.to_string()))
+        }
+        kind @ (Kind::Service | Kind::Layout | Kind::Refusal) => {
             let problem = format!("{kind} objects are written by the platform, not edited here");
             Err(EditError::Check(problem))
         }
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -5,7 +5,7 @@
 use chestnut_conf::{Kind, Service as ServiceObject};
 use chestnut_fleet::{HolderPlan, Member};
 use chestnut_route::{Backend, Ix, PurseId, Route, Routes};
-use chestnut_unit::{Layout, LeafId, ServiceName};
+use chestnut_unit::{DomainName, Layout, LeafId, ServiceName};
 use slog::info;
 use tokio::time::sleep;
 
@@ -69,6 +69,7 @@
 /// Computes the back ends of every service and returns the leafs held here.
 pub(crate) fn place_all(shared: &Shared) -> Held {
     let (services, layouts) = objects(shared);
+    let evacuated = lock(&shared.conf).book.evacuated();
     let members: Vec<Member> = lock(&shared.swim).view.working().cloned().collect();
     let names: BTreeSet<ServiceName> = services.keys().cloned().collect();
     shared.drop_services(&names);
@@ -83,6 +84,7 @@
             object,
             plan: &plan,
             members: &members,
+            evacuated: &evacuated,
         };
         placing.place(&cell, layouts, &mut held);
     }
@@ -127,6 +129,8 @@
     object: &'a ServiceObject,
     plan: &'a HolderPlan,
     members: &'a [Member],
+    /// Domains whose leafs get no calls, from here or by way of a peer.
+    evacuated: &'a BTreeSet<DomainName>,
 }
 
 impl Placing<'_> {
@@ -138,6 +142,8 @@
             let holders = self.plan.of(leaf.group);
             if holders.contains(&self.shared.own.id) {
                 let ix = self.add_leaf(&mut state, id, leaf.slots);
+                let barred = self.evacuated.contains(&leaf.domain);
+                state.table.set_barred(ix, barred, self.shared.now());
                 places.insert(ix, Place::Leaf(id.clone(), leaf.address));
                 held.insert((id.clone(), leaf.address));
                 backends.insert(id, vec![ix]);
@@ -156,6 +162,11 @@
         state.extra.places = places;
     }
 
+    fn is_open(&self, id: &LeafId) -> bool {
+        let leaf = self.object.leafs.get(id);
+        leaf.is_some_and(|leaf| !self.evacuated.contains(&leaf.domain))
+    }
+
     fn add_leaf(&self, state: &mut State, id: &LeafId, slots: u32) -> Ix {
         let now = self.shared.now();
         let backend = Backend::Leaf(id.clone());
@@ -209,12 +220,8 @@
         let mut local = Vec::with_capacity(layout.shards.len());
         for shard in &layout.shards {
             let mut replicas: Vec<Ix> = Vec::new();
-            for ix in shard
-                .leafs
-                .iter()
-                .filter_map(|id| backends.get(id))
-                .flatten()
-            {
+            let open = shard.leafs.iter().filter(|id| self.is_open(id));
+            for ix in open.filter_map(|id| backends.get(id)).flatten() {
                 if !replicas.contains(ix) {
                     replicas.push(*ix);
                 }
--- a/crates/tier/src/spread.rs
+++ b/crates/tier/src/spread.rs
@@ -61,7 +61,7 @@
     }
     if new
         .iter()
-        .any(|o| matches!(o.key.kind, Kind::Service | Kind::Layout))
+        .any(|o| matches!(o.key.kind, Kind::Service | Kind::Layout | Kind::Evacuation))
     {
         shared.place.notify_one();
     }
--- a/crates/tier/src/status.rs
+++ b/crates/tier/src/status.rs
@@ -157,6 +157,7 @@
                 place: place_word,
                 state: match evicted {
                     _ if state.table.is_leaving(*ix) => "leaving",
+                    _ if state.table.is_barred(*ix) => "evacuated",
                     Some(_) => "evicted",
                     None => "open",
                 },
