Each write of a lease raises its revision

Traced from the entries' logs: the lease was taken over 2.75 s after it was first seen while its holder renewed it every half second. The platform's store takes a write that changes nothing for none, so a renewal raised no revision and looked to the others as if the holder had fallen silent.

Ruled out: slow connections (no call to the leaf waited over 20 ms), entries that did not know that the leaf was cold (all had logged it).

--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -53,7 +53,8 @@
 pub enum LeaseCall {
     /// Read all leases, as they are now.
     List,
-    /// Write one, if it is at this revision, or not there.
+    /// Write one, if it is at this revision, or not there. The write has to raise the
+    /// revision also where it renews what is there.
     Write {
         /// Which.
         id: LeaseId,
@@ -156,6 +157,12 @@
         valid.then_some((holding.id, holding.until))
     }
 
+    /// Whether a lease is held, or kept until it may be given back.
+    #[must_use]
+    pub fn is_holding(&self) -> bool {
+        self.holding.is_some()
+    }
+
     /// The call to make now, if any. One is made at a time.
     pub fn next(&mut self, wanted: bool, now: Time) -> Option<LeaseCall> {
         if now < self.rest {
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -29,9 +29,10 @@
     /// Reads all leases as they are now.
     fn list(&self) -> BoxFuture<'_, Result<Vec<LeaseRecord>, FeedError>>;
 
-    /// Writes a lease if it is at the revision `expected`, or not there. After an error
-    /// the write may take effect nevertheless, or later.
-    fn write(
+    /// Writes a lease if it is at the revision `expected`, or not there. Each write that
+    /// takes effect raises the revision, also one that says what the lease said before.
+    /// After an error the write may take effect nevertheless, or later.
+    fn grant(
         &self,
         id: LeaseId,
         expected: Option<u64>,
@@ -212,19 +213,22 @@
             expected,
             owner,
         } => {
-            let reply = store.write(id, expected, owner.clone()).await;
+            let reply = store.grant(id, expected, owner.clone()).await;
             let reply = reply.unwrap_or_else(|error| {
                 warn!(shared.host.log, "hold: a lease of cold leafs may not be written"; "lease" => %id, "why" => %error);
                 LeaseReply::Unknown
             });
-            let before = leases.held(sent).is_some();
+            let (before, owner_wanted) = (leases.is_holding(), owner.is_some());
             leases.answered(id, owner, reply, sent, shared.now());
             take_grant(shared, leases, slept);
-            let after = leases.held(shared.now()).is_some();
-            if before != after {
-                let word = if after { "holds" } else { "gave back" };
-                info!(shared.host.log, "hold: {word} lease {id} of cold leafs");
-            }
+            let after = leases.is_holding();
+            let word = match (before, after, owner_wanted) {
+                (false, true, _) => "holds",
+                (true, false, true) => "lost",
+                (true, false, false) => "gave back",
+                _ => return,
+            };
+            info!(shared.host.log, "hold: {word} lease {id} of cold leafs");
         }
     }
 }
--- a/crates/relay/tests/world/store.rs
+++ b/crates/relay/tests/world/store.rs
@@ -534,7 +534,7 @@
         .boxed()
     }
 
-    fn write(
+    fn grant(
         &self,
         id: LeaseId,
         expected: Option<u64>,
