--- a/crates/fleet/src/carriers.rs
+++ b/crates/fleet/src/carriers.rs
@@ -25,10 +25,9 @@
 /// Members whose weight is at least this part of another's are as good as it.
 const ALIKE_PERCENT: u64 = 90;
 /// Carriers beyond which alike ones are added only while the load wants them, and
-/// below which they are while each still learns. Each opens connections to every leaf:
-/// of 100 alike entries over leafs that take 40 connections all carried, and leafs reset
-/// what was beyond, a fifth of the requests. 16 leave two connections each, and the loss
-/// of a failure domain of three leaves ten.
+/// below which they are while each still learns. Each opens connections to every leaf,
+/// which resets what is beyond its bound. 16 leave two connections each of 40, and the
+/// loss of a failure domain of three leaves ten.
 const ALIKE_LEAST: usize = 16;
 /// Capacity that carriers have for each call up to which alike ones are added
 /// all the same: four times what is needed without any loss.
@@ -37,15 +36,12 @@
 /// A load below this part of what one carrier can carry tells nothing of what is to come:
 /// the calls of operators that look whether all is well.
 const IDLE_PARTS: u64 = 20;
-/// While no load is told one in so many members carries, six at least. At 16 in any case
-/// 17 entries began a day with a search every few seconds each.
+/// While no load is told one in so many members carries, six at least: too many would
+/// begin with too few calls each to learn from.
 const IDLE_MEMBERS: usize = 8;
 const IDLE_LEAST: usize = 6;
 /// Calls a second to each leaf that a carrier needs to know how its leafs do, and to
-/// keep its connections to them open. Of 17 alike entries over 270 leafs, 450 calls a
-/// second in all, 4 carriers answered 66 of 95 searches in time, 8 did 58 and 16 did 44. At
-/// 0.5 a group of 280, 5,900 calls a second, kept to 49 carriers whose links were full for
-/// the others' searches: 0.84 of the credit, 0.91 at 0.3.
+/// keep its connections to them open. More leaves few carriers, whose links are full.
 const LEARNS: f64 = 0.3;
 
 /// The members that callers are sent to, strongest first: as few of the
@@ -128,10 +124,8 @@
 
 /// How many carriers are kept for a while though the load wants fewer.
 ///
-/// A load that rises is heard in steps. As it passed from next to nothing to 5,900 calls
-/// a second, 4 carriers were wanted for some seconds and then 15; the others still had
-/// callers, but no part of the extra calls, and answered 17 of 132 searches late while leafs
-/// were slow.
+/// A load that rises is heard in steps, and while few carriers are wanted the others still
+/// have callers, but no part of the extra calls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Held {
     count: usize,
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -9,11 +9,9 @@
 /// round trips of 6 ms, to ask where to connect, to connect and to be served, and
 /// the delay of timers.
 const WAY_MAX: Duration = Duration::from_millis(26);
-/// Delay of timers, here and at the caller. At 6 ms answers lack shards that would
-/// have come in time, and the mean credit is the same within 0.002.
+/// Delay of timers, here and at the caller.
 const TIMERS: Duration = Duration::from_millis(3);
-/// Quantile of the time that ending an answer takes which is kept for it. An entry of
-/// 0.12 cores that cancels and merges 90 calls takes 5 ms, and its answers came 5 ms late.
+/// Quantile of the time that ending an answer takes which is kept for it.
 const OVERRUN_QUANTILE: f64 = 0.75;
 /// Longest such time that is believed: answers that lack their least share at the goal
 /// go out whenever that is in.
@@ -22,9 +20,7 @@
 const SAMPLES_NEEDED: u64 = 8;
 /// Quantile of what they spent before that is taken for the way to a caller and back.
 /// Those that come after a failure have spent much more, and may be most for a
-/// while; those that connect have spent from one round trip to three. At half of it
-/// a third of the calls with a goal of 80 ms came late on a day of load (822 of 2,508,
-/// callers 3 ms away; 194 with a fixed 26 ms).
+/// while; those that connect have spent from one round trip to three.
 const QUANTILE: f64 = 0.25;
 
 /// Most that the longest time seen may be below a rule's timeout for callers to be
@@ -48,8 +44,7 @@
     /// asked where to connect, or has failed elsewhere, gives what is left.
     ///
     /// An entry that few callers visit may not have seen a first try. Where all have
-    /// given a little less than the operator's timeout, they began with that: of 128
-    /// calls over 17 entries, 90 had spent 14 to 26 ms, which nobody took off.
+    /// given a little less than the operator's timeout, they began with that.
     fn spent(&mut self, left: Duration, timeout: Duration, now: Time) -> Duration {
         if now.since(self.turned) >= REMEMBERED {
             self.before = self.now;
--- a/crates/relay/src/history.rs
+++ b/crates/relay/src/history.rs
@@ -10,8 +10,8 @@
 use chestnut_port::{PackError, RawBook, pack};
 
 /// Versions that are kept. An entry that is further behind, or has one that this entry
-/// never had, gets the whole book. Versions share their rules: the fourth one of 4,251
-/// routes costs the map and not the routes.
+/// never had, gets the whole book. Versions share their rules: one more costs the map and
+/// not the routes.
 const KEPT: usize = 4;
 /// Answers that are kept packed, by what the asker has: one for each kept version, and
 /// the whole book.
--- a/crates/relay/src/pass.rs
+++ b/crates/relay/src/pass.rs
@@ -116,8 +116,7 @@
         let pulse = *self.0.pulse.borrow();
         // An entry that is cut off from the store asks it again and again. Until
         // it answers, what was heard from others is not passed on as the store's:
-        // entries that the store serves followed such a one, and a change of the
-        // book was not in force there for 3.8 s.
+        // entries that the store serves would follow such a one, and hear late.
         let hears = lock(&self.0.upstreams).hears_store(self.0.now()) && !pulse.is_lost();
         match hears && pulse.revision() > 0 {
             true => Ok(pulse.revision()),
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -52,8 +52,7 @@
     pub files: usize,
 }
 
-/// Processor time that the daemon spends on a leaf call, everything counted:
-/// 83 us in a calm day of the smallest deployment.
+/// Processor time that the daemon spends on a leaf call, everything counted.
 const CALL_CORE: f64 = 85e-6;
 /// Megabits of a leaf call: a part of 1,000 bytes with its heads, both ways.
 const CALL_MEGABITS: f64 = 11.2e-3;
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -43,9 +43,8 @@
     Leaving,
 }
 
-/// About the length of the pauses that collectors and compactions cause (250 ms
-/// on the users' leafs): shorter sends calls into the rest of a pause, longer
-/// idles a leaf that has long recovered.
+/// About the length of the pauses that collectors and compactions cause: shorter sends
+/// calls into the rest of a pause, longer idles a leaf that has long recovered.
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// What the tasks of one entry share.
--- a/crates/relay/src/source.rs
+++ b/crates/relay/src/source.rs
@@ -257,9 +257,8 @@
 /// Chooses whom to ask. A peer is followed only once it has answered.
 ///
 /// An entry that looks for one asks several in turn: seeds that start with it, or
-/// watchers that have all lost the store. When each counted as followed, readings moved
-/// along with no gain, and a day with an outage had 2,772 changes of upstream at 90
-/// entries, a start of them 285.
+/// watchers that have all lost the store. If each counted as followed, readings would
+/// move along with no gain.
 fn choose(shared: &Shared, members: &Members) -> Upstream {
     let (upstream, cause) = members.upstream(shared);
     let followed = match upstream {
--- a/crates/relay/src/spread.rs
+++ b/crates/relay/src/spread.rs
@@ -50,10 +50,9 @@
 /// once: a change goes from entry to entry, and one that was missed reads it from any
 /// member that it meets.
 ///
-/// Unlike lists of leafs, of which old news does harm, books need no upstream. When
-/// they came from it alone, entries that had a version kept it from others that asked,
-/// because they followed another one or had lost the store: an entry of 71 was 12 s
-/// behind peers that had the book.
+/// Unlike lists of leafs, of which old news does harm, books need no upstream. If they
+/// came from it alone, entries that have a version would keep it from others that ask,
+/// because they follow another one or have lost the store.
 #[derive(Clone, Debug, Default)]
 pub struct Spread {
     own: BookVersion,
--- a/crates/relay/src/take.rs
+++ b/crates/relay/src/take.rs
@@ -24,8 +24,7 @@
     match whole {
         true => passed.listed(&batch),
         // A leaf that warms up writes with each heartbeat, and only the time that is left
-        // of it changes: 405 new leafs told 295 entries so for three seconds.
-        // One that has become cold again is news.
+        // of it changes. One that has become cold again is news.
         false => passed.changed_from(&batch, |(id, known), (_, new)| {
             known.is_same(new) && new.warmup <= known.warmup && !cooled.contains(id)
         }),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -31,14 +31,13 @@
 /// run, or start with it, answer within it. The time differs between entries up to
 /// the longest, as those that all ask the store at once are paid for one by one.
 ///
-/// After a loss of power the seeds may come back last. With 400 ms for all, the
-/// others refused every caller for that long beside a store that answers in 4 ms.
+/// After a loss of power the seeds may come back last, and the others would refuse every
+/// caller meanwhile beside a store that answers in milliseconds.
 const SEEDS_LEAST: Duration = Duration::from_millis(30);
 const SEEDS_MOST: Duration = Duration::from_millis(120);
 /// Calls a second that an entry must be able to carry to ask so soon: a hundred
 /// requests over fifteen shards. Weaker ones carry callers only where there are no
-/// stronger ones, and are many: 76 of 84 entries that asked the store for themselves
-/// made 900 calls, which cost more than their callers gained.
+/// stronger ones, and are many: their calls to the store cost more than callers gain.
 const SWIFT: u32 = 1500;
 /// How long weaker ones ask the seeds.
 const SEEDS_SLOW: Duration = Duration::from_millis(400);
@@ -161,8 +160,8 @@
 
     /// Takes it that `peer` hears of the store from the entry at `to`. Where that one has
     /// lost the store, so has `peer`, which will notice it with its next pulse. Taken
-    /// for no use, it left one that has lost the store, one short of the quorum, and all
-    /// entries asked the store: 157 calls of 20 entries in an outage of 4 s.
+    /// for no use, it would leave one that has lost the store, one short of the quorum,
+    /// and all entries would ask the store.
     pub fn redirected(&mut self, peer: SocketAddr, to: SocketAddr, own: SocketAddr, now: Time) {
         if to != own && self.is_lost(to) {
             self.forget(peer);
--- a/crates/route/src/backend.rs
+++ b/crates/route/src/backend.rs
@@ -51,8 +51,7 @@
     pub guard: Guard,
     /// How long a back end with a late call is passed over while it answers
     /// nothing. It helps where back ends pause, all their calls at once; where
-    /// single calls straggle it idles sound ones: 5% of calls at 30 times their
-    /// length then give a p99 of 41 ms instead of 29.
+    /// single calls straggle it idles sound ones.
     pub stall: Duration,
 }
 
--- a/crates/route/src/budget.rs
+++ b/crates/route/src/budget.rs
@@ -90,10 +90,9 @@
     /// above that is lost.
     ///
     /// Half of a small part of a slack that many share is less than a call, and no
-    /// call could ever be made of it, however much first calls earn: of 17 entries
-    /// with a slack of 33 none made one, and 114 of 128 answers over 90 shards, a
-    /// leaf in 24 of which pauses, lacked some. So one whole call may be saved up
-    /// where the part is that large. Below, a part of what first calls earn is kept.
+    /// call could ever be made of it, however much first calls earn. So one whole call
+    /// may be saved up where the part is that large. Below, a part of what first calls
+    /// earn is kept.
     pub fn set_slack(&mut self, slack: f64, window: Duration) {
         self.burst = match slack >= 1.0 {
             true => (slack / 2.0).max(1.0),
--- a/crates/route/src/handicap.rs
+++ b/crates/route/src/handicap.rs
@@ -10,11 +10,8 @@
 /// calls itself busy is still preferred to a busy one that calls itself idle
 /// once their calls differ by as much.
 pub(crate) const HINT_MAX: f64 = 2.0;
-/// Factor on the score of a leaf in another failure domain. With five slots a
-/// leaf, one call of our own raises a score by 0.6: at 1.7 a near leaf with two
-/// calls under way gives way to an idle far one. On a day of 71 entries 1.4, 1.7
-/// and 2.0 sent 110, 84 and 67 MB between domains, with 4,518, 4,529 and 4,510 of
-/// 4,663 requests in time; at 2.0 the heaviest days lose in time what they save.
+/// Factor on the score of a leaf in another failure domain. With five slots a leaf a
+/// near one with two calls of our own under way gives way to an idle far one.
 const FAR_HANDICAP: f64 = 1.7;
 /// Factor on the score of a leaf that has just appeared.
 const COLD_HANDICAP: f64 = 3.0;
@@ -23,10 +20,7 @@
 /// Power of the share of calls that a back end does not fail or refuse by which its
 /// score is divided. A call that fails costs an extra one, of which there are few,
 /// or its part of the answer; one that waits behind two others costs some
-/// milliseconds. At 3 a back end that refuses three calls of five looks sixteen
-/// times as slow, one that refuses one of ten 1.4 times; when all refuse alike it
-/// cancels out. Where four in five leafs of ten shards refused three calls of five,
-/// 9 s long, a mean credit of 0.68 became 0.70.
+/// milliseconds. When all refuse alike it cancels out.
 const FAULT_POWER: i32 = 3;
 /// Least such share, so that scores stay finite.
 const SOUND_LEAST: f64 = 0.1;
--- a/crates/route/src/kept.rs
+++ b/crates/route/src/kept.rs
@@ -5,8 +5,7 @@
 use chestnut_unit::Time;
 
 /// Part of what first calls earn that may be saved up, and that is taken off what
-/// they earn for it. More keeps more for a burst and makes fewer calls in all: at a
-/// quarter an entry with 20 first calls to a shard in a window can save a whole one.
+/// they earn for it. More keeps more for a burst and makes fewer calls in all.
 const KEPT_PART: f64 = 0.25;
 /// Spans that a window of first calls is counted in.
 const SPANS: u64 = 4;
--- a/crates/route/src/purse.rs
+++ b/crates/route/src/purse.rs
@@ -11,10 +11,9 @@
 /// What a call that a target sheds costs it, as part of a call that it runs.
 const SHED_COST: f64 = 0.25;
 /// Part of a joint budget that may be spent on any call. Below it the calls that
-/// add most to their answers come first. With a half of it, queries that lack two
-/// shards or more still use up what others need (mean credit 0.55 and 0.16 where
-/// leafs refuse 30% and 45% of the calls, 0.59 and 0.20 at a quarter); with none
-/// of it, hedges for the last missing shard are withheld on calm days.
+/// add most to their answers come first. With more of it, queries that lack two shards
+/// use up what others need; with none, hedges for the last missing shard are withheld
+/// while all is calm.
 const SPENT_FREELY: f64 = 0.25;
 
 /// What a budget says to a call.
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -10,17 +10,15 @@
 /// First wait for room: about what a slot of a busy back end takes to come
 /// free (5 slots, calls of 28 ms).
 const ROOM_LOOK: Duration = Duration::from_millis(4);
-/// Later waits, as part of the time since the start: a request that waited for
-/// 60 ms looked twelve times, and one that will be late anyway leaves the room
-/// to those that may still be in time.
+/// Later waits, as part of the time since the start: one that will be late anyway leaves
+/// the room to those that may still be in time.
 const ROOM_PART: u32 = 4;
 /// Part of the time to the goal for which a query waits before its first call:
 /// the calls need the rest. A query that would wait longer, by what waits
 /// already and how fast places come free, is given up at once.
 const HOLD_PART: u32 = 2;
 /// Part of the time to the goal within which a caller that is told of a failure can
-/// come back and still get an answer by the goal. With it callers whose query lacks
-/// two shards or more are told so after some 10 ms instead of 100.
+/// come back and still get an answer by the goal.
 const RETURN_PART: u32 = 2;
 /// Rest of a shard that every replica shed: about a call, so that a slot has
 /// come free.
