--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -118,34 +118,32 @@
         let homes = shared.homes();
         let swim = lock(&self.swim);
         let own = &swim.view.own().id;
-        let present = by_turns(swim.view.present());
-        let list: Vec<Candidate<&Member>> = present
-            .iter()
-            .map(|member| self.candidate(&swim, &homes, member, *member))
-            .collect();
+        let list = self.candidates(&swim, &homes);
         let held = lock(&self.held).count();
         let carriers = carriers(&list, homes.leafs, held);
         carriers.iter().position(|member| member.id == *own)
     }
 
-    /// What this entry may use, beside the entries that serve. One that is
-    /// leaving still serves and counts.
+    /// Those that may carry callers. One that is leaving still serves and counts.
+    fn candidates<'a>(&self, swim: &'a Swim, homes: &Homes) -> Vec<Candidate<&'a Member>> {
+        let present = by_turns(swim.view.present()).into_iter();
+        let candidates = present.map(|member| self.candidate(swim, homes, member, member));
+        candidates.collect()
+    }
+
+    /// What this entry may use, beside the entries that serve.
     fn allotment(&self, shared: &Shared) -> Allotment {
         let homes = shared.homes();
         let swim = lock(&self.swim);
-        let own = swim.view.own().clone();
-        let present = by_turns(swim.view.present());
-        let list: Vec<Candidate<&Member>> = present
-            .iter()
-            .map(|member| self.candidate(&swim, &homes, member, *member))
-            .collect();
+        let own = &swim.view.own().id;
+        let list = self.candidates(&swim, &homes);
         let wanted = carriers(&list, homes.leafs, 0).len();
         let held = lock(&self.held).want(wanted, shared.now());
         let carriers = carriers(&list, homes.leafs, held);
         Allotment {
             carriers: carriers.len().max(1),
             others: list.len() - carriers.len(),
-            part: match carriers.iter().any(|member| member.id == own.id) {
+            part: match carriers.iter().any(|member| member.id == *own) {
                 true => Part::Carrier,
                 false => Part::Other,
             },
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -64,15 +64,6 @@
     stage
 }
 
-async fn serving(stage: &Stage, entries: u16) -> Vec<Relay> {
-    let mut relays = Vec::new();
-    for n in 1..=entries {
-        relays.push(stage.serving(n).await);
-    }
-    sleep(Duration::from_secs(8)).await;
-    relays
-}
-
 /// Sends requests to all entries in turn, as many a second as `rate`, for `span`.
 async fn load(relays: &[Relay], rate: u32, span: Duration) -> Vec<Reply> {
     let mut sent = Vec::new();
@@ -117,7 +108,7 @@
 #[tokio::test(start_paused = true)]
 async fn leafs_that_come_back_cold_are_used_within_their_bound() {
     let stage = stage();
-    let relays = serving(&stage, 9).await;
+    let relays = stage.serving_all(9).await;
     // The other domains are gone, so that all calls are for the cold one.
     for domain in &DOMAINS[1..] {
         for shard in SHARDS {
@@ -140,7 +131,7 @@
 #[tokio::test(start_paused = true)]
 async fn what_cold_leafs_can_not_take_is_refused_at_once() {
     let stage = stage();
-    let relays = serving(&stage, 1).await;
+    let relays = stage.serving_all(1).await;
     for domain in DOMAINS {
         put_all(&stage, domain, SPAN);
     }
@@ -170,7 +161,7 @@
 #[tokio::test(start_paused = true)]
 async fn a_leaf_that_becomes_cold_again_is_bounded_again() {
     let stage = stage();
-    let relays = serving(&stage, 9).await;
+    let relays = stage.serving_all(9).await;
     let before = Instant::now();
     load(&relays, 200, Duration::from_secs(1)).await;
     let domain = DOMAINS
@@ -201,7 +192,7 @@
 #[tokio::test(start_paused = true)]
 async fn leafs_of_a_domain_that_is_back_count_as_cold() {
     let stage = stage();
-    let relays = serving(&stage, 9).await;
+    let relays = stage.serving_all(9).await;
     for domain in DOMAINS {
         stage.store.evacuate(domain);
     }
@@ -228,7 +219,7 @@
 #[tokio::test(start_paused = true)]
 async fn after_all_lost_power_cold_leafs_are_bounded(#[case] store_lost: bool) {
     let stage = stage();
-    let relays = serving(&stage, 9).await;
+    let relays = stage.serving_all(9).await;
     for n in 1..=9 {
         stage.net.cut(peers_address(n));
         stage.feeds.cut(peers_address(n));
@@ -261,7 +252,7 @@
     let stage = stage();
     let rules = vec![rule("/all/", Kind::Idempotent, gather(&SHARDS, 1000))];
     stage.store.put_book(book_of(2, rules, None));
-    let relays = serving(&stage, 3).await;
+    let relays = stage.serving_all(3).await;
     for domain in DOMAINS {
         put_all(&stage, domain, SPAN);
     }
--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -78,20 +78,11 @@
     there.count()
 }
 
-async fn serving(stage: &Stage, entries: u16) -> Vec<Relay> {
-    let mut relays = Vec::new();
-    for n in 1..=entries {
-        relays.push(stage.serving(n).await);
-    }
-    sleep(Duration::from_secs(8)).await;
-    relays
-}
-
 /// Guards against leafs of an evacuated domain that are called, or never called again.
 #[tokio::test(start_paused = true)]
 async fn an_evacuated_domain_gets_no_calls_until_it_is_back() {
     let stage = stage();
-    let relays = serving(&stage, 3).await;
+    let relays = stage.serving_all(3).await;
     let relays: Vec<&Relay> = relays.iter().collect();
     assert!(calls_to(&stage, &relays, "dub-a").await > 0);
     stage.store.evacuate("dub-a");
@@ -107,7 +98,7 @@
 #[tokio::test(start_paused = true)]
 async fn entries_that_the_store_turns_away_hear_of_an_evacuation() {
     let stage = stage();
-    let relays = serving(&stage, 9).await;
+    let relays = stage.serving_all(9).await;
     let all: Vec<&Relay> = relays.iter().collect();
     stage.store.bar([1, 4, 5, 7, 8].into());
     sleep(Duration::from_secs(5)).await;
@@ -124,7 +115,7 @@
 #[tokio::test(start_paused = true)]
 async fn an_entry_that_starts_without_the_store_knows_what_is_evacuated() {
     let stage = stage();
-    let _others = serving(&stage, 3).await;
+    let _others = stage.serving_all(3).await;
     stage.store.evacuate("kdr-c");
     sleep(IN_FORCE).await;
     stage.store.answers(Answers::Never);
@@ -138,7 +129,7 @@
 #[tokio::test(start_paused = true)]
 async fn after_all_lost_power_nobody_calls_what_was_evacuated_before() {
     let stage = stage();
-    let relays = serving(&stage, 6).await;
+    let relays = stage.serving_all(6).await;
     stage.store.evacuate("dub-a");
     sleep(IN_FORCE).await;
     for n in 1..=6 {
@@ -209,7 +200,7 @@
 #[tokio::test(start_paused = true)]
 async fn the_last_of_many_requests_in_series_is_in_force() {
     let stage = stage();
-    let relays = serving(&stage, 6).await;
+    let relays = stage.serving_all(6).await;
     let all: Vec<&Relay> = relays.iter().collect();
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     for round in 0..12 {
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -27,6 +27,7 @@
 use futures::FutureExt;
 use hyper::{HeaderMap, Method, http::uri::PathAndQuery};
 use slog::{Discard, Logger, o};
+use tokio::time::sleep;
 
 const DOMAINS: [&str; 3] = ["dub-a", "dub-b", "kdr-c"];
 pub const HOST: &str = "league.example";
@@ -102,6 +103,17 @@
         relay
     }
 
+    /// Starts entries up to number `count`, and waits until they know each other.
+    pub async fn serving_all(&self, count: u16) -> Vec<Relay> {
+        const KNOWN: Duration = Duration::from_secs(8);
+        let mut relays = Vec::new();
+        for n in 1..=count {
+            relays.push(self.serving(n).await);
+        }
+        sleep(KNOWN).await;
+        relays
+    }
+
     /// Adds `count` leafs of a service that answer after `ms`.
     pub fn add_leafs(&self, service: &str, count: usize, ms: u64) -> Vec<LeafId> {
         let ids: Vec<LeafId> = (0..count)
