--- a/crates/relay/tests/evacuation.rs
+++ b/crates/relay/tests/evacuation.rs
@@ -220,6 +220,21 @@
     }
 }
 
+/// Guards against an entry that never serves, or serves by leafs it must not call, since
+/// those that it follows are of a version that knows no evacuations.
+#[tokio::test(start_paused = true)]
+async fn among_entries_of_an_earlier_version_the_store_is_asked() {
+    let stage = stage();
+    let _others = stage.serving_all(3).await;
+    (1..=3).for_each(|n| stage.feeds.set_earlier(peers_address(n)));
+    stage.store.evacuate("dub-a");
+    let new = stage.spawn(4).await;
+    sleep(IN_FORCE).await;
+    assert_eq!(new.phase(), Phase::Serving);
+    assert_eq!(calls_to(&stage, &[&new], "dub-a").await, 0);
+    assert!(calls_to(&stage, &[&new], "dub-b").await > 0);
+}
+
 fn item(name: &str, content: Content<DomainName>) -> Item<DomainName> {
     Item {
         name: name.to_owned(),
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -209,9 +209,16 @@
     pub Links,
     /// The entry that calls through this handle.
     Option<SocketAddr>,
+    /// Entries of an earlier version, which pass on no evacuations.
+    Arc<Mutex<BTreeSet<SocketAddr>>>,
 );
 
 impl FakeFeeds {
+    /// Has an entry be of an earlier version, which passes on no evacuations.
+    pub fn set_earlier(&self, entry: SocketAddr) {
+        lock(&self.3).insert(entry);
+    }
+
     /// Has an entry answer nobody any more.
     pub fn cut(&self, entry: SocketAddr) {
         lock(&self.0).remove(&entry);
@@ -219,7 +226,7 @@
 
     /// The feeds as the entry at `own` reaches them.
     pub fn reached_by(&self, own: SocketAddr) -> Self {
-        Self(self.0.clone(), self.1.clone(), Some(own))
+        Self(self.0.clone(), self.1.clone(), Some(own), self.3.clone())
     }
 }
 
@@ -248,7 +255,9 @@
     }
 
     fn evacuations(&self, to: SocketAddr) -> Arc<dyn Feed<DomainName>> {
-        Arc::new(FakePeerFeed(self.clone(), to, "evacuations"))
+        let known = !lock(&self.3).contains(&to);
+        let feed = if known { "evacuations" } else { "unknown" };
+        Arc::new(FakePeerFeed(self.clone(), to, feed))
     }
 }
 
@@ -302,6 +311,14 @@
     }
 }
 
+/// What the adapter makes of an error: what has no word of its own is a lost store.
+fn told(error: FeedError) -> FeedError {
+    match error {
+        FeedError::HistoryGone | FeedError::Elsewhere(_) => error,
+        _ => FeedError::Lost,
+    }
+}
+
 fn parse<T: DeserializeOwned>(raw: RawBatch) -> Batch<T> {
     let items = raw.items.into_iter().map(|item| Item {
         name: item.name,
@@ -318,7 +335,7 @@
 impl<T: DeserializeOwned + Send + Sync> Feed<T> for FakePeerFeed {
     fn list(&self, _: Freshness) -> BoxFuture<'_, Result<Batch<T>, FeedError>> {
         async move {
-            let raw = self.service().await?.all(self.2)?;
+            let raw = self.service().await?.all(self.2).map_err(told)?;
             self.carry(&raw).await?;
             Ok(parse(raw))
         }
@@ -339,7 +356,7 @@
         async move {
             let service = self.service().await?;
             let raw = tokio::select! {
-                raw = service.follow(self.2.to_owned(), after, wait) => raw?,
+                raw = service.follow(self.2.to_owned(), after, wait) => raw.map_err(told)?,
                 () = self.replaced(&service) => {
                     return Err(FeedError::Unavailable("reset".to_owned()));
                 }
