An empty table of settings is its defaults

On every deployment whose rules name no bound on cold leafs no entry started: the platform fills the table [cold] in with nothing, and its keys had no defaults of their own, only the table had.

--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -11,10 +11,11 @@
 };
 use chestnut_flow::lock;
 use chestnut_port::FeedError;
-use chestnut_route::{COLD_WINDOW, Ix, Permit};
+use chestnut_route::{Backend, COLD_WINDOW, Ix, Permit};
 use chestnut_unit::{ServiceName, Time};
 use futures::future::BoxFuture;
 use rand::Rng;
+use serde::Deserialize;
 use slog::{info, warn};
 use tokio::time::sleep_until;
 
@@ -40,6 +41,7 @@
     ) -> BoxFuture<'_, Result<LeaseReply, FeedError>>;
 }
 
+/// How long a lease holds, and what was sent under it counts.
 const TIMES: LeaseTimes = LeaseTimes {
     term: Duration::from_millis(1500),
     settle: COLD_WINDOW,
@@ -49,12 +51,14 @@
 const CLAIMANTS: usize = 2 * LEASES as usize;
 /// Time between two looks whether this entry is one of them.
 const LOOK: Duration = Duration::from_millis(500);
+/// Least time between two decisions without news.
+const STEP: Duration = Duration::from_millis(5);
 /// By how much the time of suspension may seem to change while there was none.
 const SLEPT_SLACK: Duration = Duration::from_millis(20);
 
 /// What a cold leaf takes where a book bounds it, as the settings have it.
-#[derive(Clone, Copy, Debug, PartialEq, serde::Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct ColdCalls {
     /// Calls in a second, as a multiple of the rate in the book.
     pub over: f64,
@@ -137,7 +141,7 @@
     }
     let cold: Vec<_> = state.extra.leafs.cold(now).collect();
     for (id, until) in cold {
-        if let Some(ix) = state.table.find(&chestnut_route::Backend::Leaf(id)) {
+        if let Some(ix) = state.table.find(&Backend::Leaf(id)) {
             cool(state, ix, until, now);
         }
     }
@@ -194,9 +198,6 @@
     }
 }
 
-/// Least time between two decisions without news.
-const STEP: Duration = Duration::from_millis(5);
-
 async fn ask(shared: &Shared, store: &dyn LeaseStore, leases: &mut Leases, call: LeaseCall) {
     shared.metrics.count_store("leases");
     let (sent, slept) = (shared.now(), shared.host.clock.slept());
