Route book: organisations, their keys as digests, and public routes

Entries knew no organisations: they passed a caller's key on to leafs and ran requests whose key nobody holds. As a first step the book learns them as the configuration gives them: name, priority, limit, keys, and which routes are public. Nothing acts upon it yet.

A key is digested as it is decoded, and is held nowhere; errors about the list of organisations tell a place and no text. Differences between versions hold the organisations that changed.

--- a/crates/book/src/book.rs
+++ b/crates/book/src/book.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc, time::Duration};
 
-use chestnut_unit::ServiceName;
+use chestnut_unit::{OrgName, ServiceName};
 use displaydoc::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
-use crate::{BookDelta, CallerLimits, Rule, ServiceRule, Target};
+use crate::{BookDelta, CallerLimits, Organisation, Organisations, Rule, ServiceRule, Target};
 
 /// Version of a route book. Operators increase it with every edit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -45,6 +45,10 @@
     ZeroTimeout(String),
     /// route {0}: the number of attempts is 0; set 1 or more
     ZeroAttempts(String),
+    /// organisation {0} is listed more than once; list each organisation once
+    DuplicateOrganisation(OrgName),
+    /// organisations {0} and {1} have a key in common; take it away from one of the two
+    SharedKey(OrgName, OrgName),
 }
 
 impl std::error::Error for BookError {}
@@ -65,6 +69,8 @@
     hosts: BTreeMap<String, Arc<Prefixes>>,
     /// Limits of the services that have any.
     services: BTreeMap<ServiceName, ServiceRule>,
+    /// The organisations that may call; `None` if callers need no key. Versions share them.
+    organisations: Option<Arc<Organisations>>,
 }
 
 impl RouteBook {
@@ -84,6 +90,7 @@
             limits,
             hosts: BTreeMap::new(),
             services: services.into_iter().collect(),
+            organisations: None,
         };
         for rule in rules {
             book.insert(Arc::new(rule))?;
@@ -91,6 +98,31 @@
         Ok(book)
     }
 
+    /// Returns the book with these organisations, whose keys callers need from now on.
+    ///
+    /// # Errors
+    ///
+    /// Two organisations have the same name, or a key in common.
+    pub fn with_organisations(mut self, list: Vec<Organisation>) -> Result<Self, BookError> {
+        let mut organisations = Organisations::default();
+        for organisation in list {
+            organisations.insert(Arc::new(organisation))?;
+        }
+        self.organisations = Some(Arc::new(organisations));
+        Ok(self)
+    }
+
+    /// Returns the organisations that may call; `None` if callers need no key.
+    #[must_use]
+    pub fn organisations(&self) -> Option<&Arc<Organisations>> {
+        self.organisations.as_ref()
+    }
+
+    /// Replaces the organisations, all of them.
+    pub(crate) fn set_organisations(&mut self, organisations: Option<Arc<Organisations>>) {
+        self.organisations = organisations;
+    }
+
     /// Validates a rule and adds it. Fails if it is invalid or its host and prefix are
     /// already used.
     pub(crate) fn insert(&mut self, rule: Arc<Rule>) -> Result<(), BookError> {
@@ -157,6 +189,9 @@
                 }
             }
         }
+        if self.organisations == other.organisations {
+            self.organisations.clone_from(&other.organisations);
+        }
     }
 
     /// Returns the rule of `host` with the longest prefix of `path`, or `None` if no rule
--- a/crates/book/src/delta.rs
+++ b/crates/book/src/delta.rs
@@ -2,11 +2,55 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use chestnut_unit::ServiceName;
+use chestnut_unit::{OrgName, ServiceName};
 use displaydoc::Display;
 use serde::{Deserialize, Serialize};
 
-use crate::{BookError, BookVersion, CallerLimits, RouteBook, Rule, ServiceRule};
+use crate::{
+    BookError, BookVersion, CallerLimits, Organisation, Organisations, RouteBook, Rule, ServiceRule,
+};
+
+/// Changes of the organisations from one version of a route book to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct OrgDelta {
+    /// Added and changed organisations.
+    put: Vec<Arc<Organisation>>,
+    /// Removed organisations.
+    gone: Vec<OrgName>,
+}
+
+impl OrgDelta {
+    /// Computes the organisations that were added, changed or removed.
+    fn between(from: Option<&Organisations>, to: &Organisations) -> Self {
+        let same =
+            |org: &&Arc<Organisation>| from.is_some_and(|from| from.get(&org.name) == Some(org));
+        let gone = from.iter().flat_map(|from| from.iter());
+        let gone = gone.filter(|org| to.get(&org.name).is_none());
+        Self {
+            put: to.iter().filter(|org| !same(org)).cloned().collect(),
+            gone: gone.map(|org| org.name.clone()).collect(),
+        }
+    }
+
+    /// Returns whether nothing changes.
+    fn is_empty(&self) -> bool {
+        self.put.is_empty() && self.gone.is_empty()
+    }
+
+    /// Applies the changes to `from`. Changed organisations are all removed before one is
+    /// added, as a key may move from one to another.
+    fn apply(self, from: Option<&Organisations>) -> Result<Organisations, BookError> {
+        let mut organisations = from.cloned().unwrap_or_default();
+        let changed = self.put.iter().map(|org| &org.name);
+        for name in self.gone.iter().chain(changed) {
+            organisations.remove(name);
+        }
+        for organisation in self.put {
+            organisations.insert(organisation)?;
+        }
+        Ok(organisations)
+    }
+}
 
 /// Changes from one version of a route book to another: added, changed and removed
 /// rules and services, and the new limits on callers. Its size follows the number
@@ -27,6 +71,9 @@
     services: BTreeMap<ServiceName, ServiceRule>,
     /// Removed services.
     closed: Vec<ServiceName>,
+    /// Changes of the organisations; `None` if callers need no key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    organisations: Option<OrgDelta>,
 }
 
 /// Why a delta can't be applied.
@@ -68,6 +115,10 @@
                 .map(|(name, rule)| (name.clone(), rule.clone()))
                 .collect(),
             closed: closed.map(|(name, _)| name.clone()).collect(),
+            organisations: to.organisations().map(|to| {
+                let from = base.organisations().map(AsRef::as_ref);
+                OrgDelta::between(from, to)
+            }),
         }
     }
 
@@ -105,6 +156,15 @@
             book.insert(rule).map_err(DeltaError::InvalidBook)?;
         }
         book.update_services(self.services, &self.closed);
+        let organisations = match (self.organisations, book.organisations()) {
+            (None, _) => None,
+            (Some(delta), Some(from)) if delta.is_empty() => Some(from.clone()),
+            (Some(delta), from) => {
+                let changed = delta.apply(from.map(AsRef::as_ref));
+                Some(Arc::new(changed.map_err(DeltaError::InvalidBook)?))
+            }
+        };
+        book.set_organisations(organisations);
         Ok(book)
     }
 }
--- a/crates/book/src/lib.rs
+++ b/crates/book/src/lib.rs
@@ -23,6 +23,7 @@
 //!     timeout: Duration::from_secs(8),
 //!     objective: Duration::from_millis(800),
 //!     rank: 2,
+//!     public: false,
 //!     target: Target::One(ServiceName::new("archive").unwrap()),
 //! };
 //! let book = RouteBook::build(BookVersion(1), vec![rule], [], Default::default()).unwrap();
@@ -34,11 +35,13 @@
 mod book;
 mod delta;
 mod merge;
+mod organisation;
 mod round_robin;
 mod rule;
 
 pub use book::{BookError, BookVersion, RouteBook};
 pub use delta::{BookDelta, DeltaError};
 pub use merge::{RECORD_BYTES, merge_top};
+pub use organisation::{KeyDigest, Organisation, Organisations, ParseDigestError};
 pub use round_robin::RoundRobin;
 pub use rule::{CallerLimits, ColdRule, RetrySafety, Rule, ServiceRule, Target};
--- a/crates/book/src/rule.rs
+++ b/crates/book/src/rule.rs
@@ -70,6 +70,9 @@
     pub objective: Duration,
     /// Priority; 0 is the highest.
     pub rank: u32,
+    /// Whether callers need no key.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
     /// Where requests are sent.
     pub target: Target,
 }
--- a/crates/book/tests/book.rs
+++ b/crates/book/tests/book.rs
@@ -20,6 +20,7 @@
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
         rank: 1,
+        public: false,
         target: Target::One(service("ladder")),
     }
 }
--- a/crates/book/tests/delta.rs
+++ b/crates/book/tests/delta.rs
@@ -25,6 +25,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(200),
         rank: 1,
+        public: false,
         target: Target::One(service(to)),
     }
 }
--- a/crates/relay/tests/propagation.rs
+++ b/crates/relay/tests/propagation.rs
@@ -139,6 +139,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(200),
         rank: 1,
+        public: false,
         target: Target::One(ServiceName::new("archive").unwrap()),
     };
     let limits = CallerLimits::default();
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -178,6 +178,7 @@
         timeout: Duration::from_secs(2),
         objective: Duration::from_millis(200),
         rank: 1,
+        public: false,
         target,
     }
 }
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -17,6 +17,7 @@
 mod coverage;
 mod id;
 mod lock;
+mod rate_limit;
 mod reason;
 mod revision;
 mod share;
@@ -31,6 +32,7 @@
     ServiceName, ShardName, TemplateName,
 };
 pub use lock::lock;
+pub use rate_limit::RateLimit;
 pub use reason::{Execution, Reason};
 pub use revision::{Epoch, ParseRevisionError, Revision};
 pub use share::{ParseShareError, Share};
