Limits over all entries: homes, tokens, and parts of a partition

An organisation's limit has to hold for the sum over all entries and must not thin out as they multiply. One entry, chosen by rendezvous hashing, keeps the token bucket of an organisation; the others ask it for tokens. Buckets start nearly empty, so a home that ends leaves nothing to learn.

Tests: crates/route/tests/rate.rs, crates/fleet/tests/homes.rs.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,9 +19,11 @@
 mod confirm;
 mod entries;
 mod gossip;
+mod homes;
 mod lease;
 mod member;
 mod placement;
+mod reach;
 mod serving;
 mod swim;
 mod view;
@@ -29,12 +31,14 @@
 pub use confirm::{Confirmation, LastConfirmed};
 pub use entries::{Entry, order_entries};
 pub use gossip::GossipQueue;
+pub use homes::Homes;
 pub use lease::{
     LEASE_COUNT, LeaseCall, LeaseId, LeaseList, LeaseRecord, LeaseReply, LeaseTimes, LeaseWrite,
     Leases, Owner,
 };
 pub use member::{Addresses, Liveness, Member, Successor};
 pub use placement::{HashedMembers, HolderPlan, choose_watchers, holder_count};
+pub use reach::Reach;
 pub use serving::{Candidate, DelayedDecrease, serving_entries};
 pub use swim::{IncarnationPolicy, Message, MessageKind, Outgoing, Status, Swim, SwimConfig};
 pub use view::{Change, View};
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -146,7 +146,7 @@
 
 /// Hashes a text to a value that is the same on all entries and in all
 /// releases.
-fn hash(text: &str) -> u64 {
+pub(crate) fn hash(text: &str) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
     u64::from_le_bytes(first)
@@ -154,7 +154,7 @@
 
 /// Returns a pseudo-random score of a member for a key, from the hashes of both
 /// (the finalizer of `SplitMix64`).
-fn score(key: u64, member: u64) -> u64 {
+pub(crate) fn score(key: u64, member: u64) -> u64 {
     let mut z = key ^ member.rotate_left(32);
     z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- /dev/null
+++ b/crates/fleet/tests/homes.rs
@@ -0,0 +1,97 @@
+//! Homes of organisations, and the part of a shared bound that each side of a partition takes.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chestnut_fleet::{Homes, Reach};
+use chestnut_unit::{MemberId, OrgName, Time};
+use rstest::rstest;
+
+fn members(count: usize) -> Vec<MemberId> {
+    let id = |n| MemberId::new(format!("entry-{n}")).unwrap();
+    (0..count).map(id).collect()
+}
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+/// Guards against homes that all move when one member comes or goes, which would start all
+/// buckets anew.
+#[test]
+fn a_change_of_one_member_moves_its_organisations_only() {
+    let all = members(20);
+    let orgs: Vec<OrgName> = (0..1000)
+        .map(|n| OrgName::new(format!("o{n}")).unwrap())
+        .collect();
+    let before = Homes::new(all.iter().map(|id| (id, 10)));
+    let after = Homes::new(all[1..].iter().map(|id| (id, 10)));
+    let mut counts: BTreeMap<&MemberId, usize> = BTreeMap::new();
+    for org in &orgs {
+        let home = before.home_of(org).unwrap();
+        *counts.entry(home).or_default() += 1;
+        if *home != all[0] {
+            assert_eq!(after.home_of(org), Some(home));
+        }
+    }
+    assert!(
+        counts.values().all(|count| (20..=90).contains(count)),
+        "{counts:?}"
+    );
+}
+
+/// Guards against weak members as homes, and against a single strong one that bears them all.
+#[rstest]
+#[case(&[100, 100, 100, 100, 100, 10, 10], 5)]
+#[case(&[100, 10, 10, 10, 10, 10], 6)]
+#[case(&[100, 50, 10, 10, 5], 4)]
+#[case(&[10], 1)]
+#[case(&[], 0)]
+fn homes_are_the_strongest_but_not_too_few(#[case] weights: &[u32], #[case] expected: usize) {
+    let all = members(weights.len());
+    let homes = Homes::new(all.iter().zip(weights.iter().copied()));
+    assert_eq!((homes.len(), homes.is_empty()), (expected, expected == 0));
+}
+
+/// The share of a side of `alive` of 10 members, `ms` after the others became absent.
+fn share(alive: usize, lost: Option<u64>, ms: u64) -> f64 {
+    let all = members(10);
+    let mut reach = Reach::default();
+    let list = |alive| all.iter().enumerate().map(move |(n, id)| (id, n < alive));
+    reach.update(list(10), at(0));
+    reach.update(list(alive), at(10_000));
+    reach.update(list(alive), at(10_000 + ms));
+    reach.share(lost.map(Duration::from_millis), at(10_000 + ms))
+}
+
+/// Guards against two sides of a partition that together take more than there is.
+#[rstest]
+#[case::nobody_absent(10, None, 0, 1.0)]
+#[case::store_away_for_all(10, Some(60_000), 0, 1.0)]
+#[case::larger_waits(7, None, 4_900, 0.7)]
+#[case::larger_takes_all(7, None, 5_000, 1.0)]
+#[case::larger_without_store(7, Some(30_000), 30_000, 0.7)]
+#[case::smaller_with_store(3, None, 30_000, 0.3)]
+#[case::smaller_at_first(3, Some(1_900), 1_900, 0.3)]
+#[case::smaller_yields(3, Some(2_000), 2_000, 0.0)]
+#[case::half_without_store(5, Some(2_000), 2_000, 0.0)]
+#[case::half_with_store(5, None, 2_000, 0.5)]
+#[case::forgotten(3, None, 60_000, 1.0)]
+fn each_side_takes_its_part(
+    #[case] alive: usize,
+    #[case] lost: Option<u64>,
+    #[case] ms: u64,
+    #[case] expected: f64,
+) {
+    assert!((share(alive, lost, ms) - expected).abs() < 1e-9);
+}
+
+/// Guards against an entry that starts, has heard of nobody yet, and takes everything.
+#[test]
+fn a_starting_entry_takes_little() {
+    let all = members(1);
+    let mut reach = Reach::starting(4, at(0));
+    assert!((reach.share(None, at(100)) - 0.25).abs() < 1e-9);
+    reach.update(all.iter().map(|id| (id, true)), at(1_000));
+    assert!((reach.share(None, at(1_000)) - 0.25).abs() < 1e-9);
+    assert!((reach.share(None, at(2_000)) - 1.0).abs() < 1e-9);
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -59,6 +59,7 @@
 mod pool;
 mod profile;
 mod query;
+mod rate;
 mod reserve;
 mod table;
 mod versions;
@@ -84,6 +85,7 @@
     Action, CallId, CallKind, Context, End, PartialReason, Query, QueryConfig, Repeat, Timeliness,
     Trust,
 };
+pub use rate::{Allowances, Grant, OrgUse, RateHome, RateMargins, Take, Token};
 pub use table::{Eviction, Table};
 pub use versions::{Route, Routes, Versions};
 pub use window::{Bounds, Window};
--- /dev/null
+++ b/crates/route/src/rate/home.rs
@@ -0,0 +1,122 @@
+//! The home of organisations: the entry that grants tokens under their limits.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use chestnut_unit::{OrgName, RateLimit, Time};
+
+use super::{BURST_SHARE, RateMargins, START_SHARE, bucket::Bucket};
+
+/// Answer of an organisation's home to a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Tokens granted; 0 if the limit is reached.
+    pub tokens: u32,
+    /// When to ask again after a refusal; zero if tokens were granted.
+    pub after: Duration,
+}
+
+/// Longest delay told after a refusal. Callers that come back later than they need are worse
+/// off than those that come too early and are told again.
+const MAX_DELAY: Duration = Duration::from_secs(2);
+/// Buckets above which those that are full again are dropped before one is added.
+const MAX_BUCKETS: usize = 10_000;
+
+/// The bucket of one organisation, and when the next refused caller is to come back.
+#[derive(Clone, Copy, Debug)]
+struct OrgBucket {
+    bucket: Bucket,
+    next_return: Time,
+}
+
+/// The token buckets of the organisations of which this entry is the home.
+#[derive(Clone, Debug)]
+pub struct RateHome {
+    margins: RateMargins,
+    buckets: BTreeMap<OrgName, OrgBucket>,
+    /// Since when this entry has been the home of organisations without a bucket, at the
+    /// earliest: another entry may have granted tokens until then.
+    since: Time,
+}
+
+impl RateHome {
+    /// Creates the buckets of an entry that starts at `now`.
+    #[must_use]
+    pub fn new(margins: RateMargins, now: Time) -> Self {
+        Self {
+            margins,
+            buckets: BTreeMap::new(),
+            since: now,
+        }
+    }
+
+    /// Replaces the margins, after a change of the settings.
+    pub fn set_margins(&mut self, margins: RateMargins) {
+        self.margins = margins;
+    }
+
+    /// Drops the buckets of organisations that now have another home. Those without a bucket
+    /// may have had one.
+    pub fn members_changed(&mut self, is_home: impl Fn(&OrgName) -> bool, now: Time) {
+        self.buckets.retain(|org, _| is_home(org));
+        self.since = now;
+    }
+
+    /// Grants up to `want` tokens of an organisation with `limit`. `share` is the part of the
+    /// rate that this entry may grant, below 1 while others may believe to be the home too.
+    pub fn grant(
+        &mut self,
+        org: &OrgName,
+        limit: RateLimit,
+        share: f64,
+        want: u32,
+        now: Time,
+    ) -> Grant {
+        let rate = limit.rate * share.clamp(f64::EPSILON, 1.0);
+        let capacity = (limit.burst + self.margins.slack * BURST_SHARE).max(1.0);
+        if !self.buckets.contains_key(org) {
+            let start = (self.margins.slack * START_SHARE * share).min(capacity);
+            self.add(org, start, capacity / rate, now);
+        }
+        let entry = self.buckets.get_mut(org).expect("it was added");
+        entry.bucket.fill(rate, capacity, now);
+        let tokens = entry.bucket.take(want);
+        let after = match tokens {
+            0 => entry.delay(rate, now),
+            _ => Duration::ZERO,
+        };
+        Grant { tokens, after }
+    }
+
+    /// Adds a bucket with `start` tokens, and what has come since this entry became the home;
+    /// drops those that are full again if there are many, `full` seconds after their last use.
+    fn add(&mut self, org: &OrgName, start: f64, full: f64, now: Time) {
+        if self.buckets.len() >= MAX_BUCKETS {
+            let idle = Duration::try_from_secs_f64(full).unwrap_or(Duration::MAX);
+            self.buckets
+                .retain(|_, entry| now.since(entry.next_return) < idle.max(MAX_DELAY));
+        }
+        let bucket = Bucket::new(start, self.since);
+        let next_return = now;
+        let entry = OrgBucket {
+            bucket,
+            next_return,
+        };
+        self.buckets.insert(org.clone(), entry);
+    }
+}
+
+impl OrgBucket {
+    /// When a refused caller is to come back: callers that are refused one after the other
+    /// return one after the other, at the rate at which they can be served.
+    fn delay(&mut self, rate: f64, now: Time) -> Duration {
+        let token =
+            now + Duration::from_secs_f64(self.bucket.wait(rate).min(MAX_DELAY.as_secs_f64()));
+        let turn = token.max(self.next_return);
+        if turn.since(now) >= MAX_DELAY {
+            return MAX_DELAY;
+        }
+        self.next_return =
+            turn + Duration::from_secs_f64((1.0 / rate).min(MAX_DELAY.as_secs_f64()));
+        turn.since(now)
+    }
+}
--- /dev/null
+++ b/crates/route/tests/rate.rs
@@ -0,0 +1,147 @@
+//! Limits of organisations: the bucket at the home, and what an entry does with its answers.
+
+use std::time::Duration;
+
+use chestnut_route::{Allowances, Grant, RateHome, RateMargins, Take};
+use chestnut_unit::{OrgName, RateLimit, Time};
+
+const MARGINS: RateMargins = RateMargins {
+    window: 5.0,
+    over: 0.1,
+    slack: 20.0,
+};
+
+fn org() -> OrgName {
+    OrgName::new("club").unwrap()
+}
+
+fn limit() -> RateLimit {
+    RateLimit::new(10.0, 30.0).unwrap()
+}
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+fn denied(after: Duration) -> Grant {
+    Grant { tokens: 0, after }
+}
+
+/// Guards against a home that comes back and grants a burst which its successor has granted
+/// meanwhile.
+#[test]
+fn a_former_home_does_not_keep_its_bucket() {
+    let mut home = RateHome::new(MARGINS, at(0));
+    let burst = home.grant(&org(), limit(), 1.0, 100, at(20_000));
+    assert_eq!(burst.tokens, 35);
+    home.members_changed(|_| false, at(20_000));
+    home.members_changed(|_| true, at(60_000));
+    assert_eq!(home.grant(&org(), limit(), 1.0, 100, at(60_000)).tokens, 2);
+}
+
+/// Guards against a bucket that is kept for the organisations of other homes, and one that is
+/// lost at each change of the members.
+#[test]
+fn a_home_keeps_the_buckets_of_its_organisations() {
+    let mut home = RateHome::new(MARGINS, at(0));
+    home.grant(&org(), limit(), 1.0, 30, at(20_000));
+    home.members_changed(|_| true, at(20_000));
+    assert_eq!(home.grant(&org(), limit(), 1.0, 100, at(21_000)).tokens, 15);
+}
+
+/// Guards against refused callers that all come back at once.
+#[test]
+fn refused_callers_come_back_one_after_the_other() {
+    let mut home = RateHome::new(MARGINS, at(0));
+    home.grant(&org(), limit(), 1.0, 35, at(20_000));
+    let delays: Vec<u128> = (0..4)
+        .map(|_| {
+            home.grant(&org(), limit(), 1.0, 1, at(20_000))
+                .after
+                .as_millis()
+        })
+        .collect();
+    assert_eq!(delays, [100, 200, 300, 400]);
+}
+
+/// Guards against a hot organisation each of whose refused requests costs a message.
+#[test]
+fn a_refusal_is_repeated_for_a_while() {
+    let mut allowances = Allowances::new(MARGINS);
+    let take = |allowances: &mut Allowances, ms| allowances.take(&org(), limit(), 8, at(ms));
+    assert_eq!(take(&mut allowances, 0), Take::Ask(1));
+    let answer = Some(denied(Duration::from_millis(100)));
+    let refused = allowances.answered(&org(), limit(), 8, answer, at(0), at(1));
+    assert_eq!(refused, Take::Refused(Duration::from_millis(100)));
+    assert_eq!(
+        take(&mut allowances, 11),
+        Take::Refused(Duration::from_millis(90))
+    );
+    assert_eq!(take(&mut allowances, 30), Take::Ask(1));
+}
+
+/// Guards against tokens that are used long after they were granted, when the limit has been
+/// granted again.
+#[test]
+fn tokens_expire() {
+    let mut allowances = Allowances::new(MARGINS);
+    let grant = Some(Grant {
+        tokens: 5,
+        after: Duration::ZERO,
+    });
+    assert_eq!(allowances.take(&org(), limit(), 8, at(0)), Take::Ask(1));
+    let granted = allowances.answered(&org(), limit(), 8, grant, at(0), at(2));
+    assert!(matches!(granted, Take::Granted(_)));
+    for ms in [10, 249] {
+        let take = allowances.take(&org(), limit(), 8, at(ms));
+        assert!(matches!(take, Take::Granted(_)), "{ms}: {take:?}");
+    }
+    assert!(matches!(
+        allowances.take(&org(), limit(), 8, at(250)),
+        Take::Ask(_)
+    ));
+}
+
+/// Guards against a message for each request of an organisation that asks much.
+#[test]
+fn tokens_are_asked_ahead_of_need() {
+    let mut allowances = Allowances::new(MARGINS);
+    let large = RateLimit::new(1000.0, 1000.0).unwrap();
+    let mut asks = 0;
+    for ms in (0..5_000).step_by(2) {
+        if let Take::Ask(want) = allowances.take(&org(), large, 8, at(ms)) {
+            asks += 1;
+            let grant = Some(Grant {
+                tokens: want,
+                after: Duration::ZERO,
+            });
+            allowances.answered(&org(), large, 8, grant, at(ms), at(ms + 1));
+        }
+    }
+    assert!(asks < 250, "{asks} of 2500");
+}
+
+/// Guards against an entry that admits nothing, or everything, while the home does not answer.
+#[test]
+fn without_the_home_an_entry_admits_its_part() {
+    let mut allowances = Allowances::new(MARGINS);
+    // Half of the limit was granted here for some windows.
+    for ms in (0..20_000).step_by(200) {
+        if let Take::Ask(want) = allowances.take(&org(), limit(), 8, at(ms)) {
+            let grant = Some(Grant {
+                tokens: want,
+                after: Duration::ZERO,
+            });
+            allowances.answered(&org(), limit(), 8, grant, at(ms), at(ms + 1));
+        }
+    }
+    let mut admitted = 0;
+    for ms in (20_000..25_000).step_by(20) {
+        let take = match allowances.take(&org(), limit(), 8, at(ms)) {
+            Take::Ask(_) => allowances.answered(&org(), limit(), 8, None, at(ms), at(ms)),
+            take => take,
+        };
+        admitted += usize::from(matches!(take, Take::Granted(_)));
+    }
+    assert!((20..=30).contains(&admitted), "{admitted}");
+}
