--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -32,6 +32,8 @@
     },
     /// can't read {0}: {1}
     File(PathBuf, String),
+    /// no key on standard input; write one line
+    NoKey,
 }
 
 impl CliError {
@@ -39,7 +41,7 @@
     pub(crate) fn status(&self) -> u8 {
         match self {
             Self::Refused(_) => 1,
-            Self::File(..) => 2,
+            Self::File(..) | Self::NoKey => 2,
             Self::Conflict(_) => 3,
             Self::Unreachable(_) | Self::Outage(_) => 4,
             Self::Unsettled { .. } => 5,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod evacuate;
+mod key_digest;
 mod objects;
 mod show;
 mod status;
@@ -97,6 +98,11 @@
     /// Start a planned stop of the entry. It removes itself from the list of
     /// addresses and exits when no caller or request depends on it.
     Drain,
+    /// Read an organisation's key from standard input and print the first digits of
+    /// its digest, by which the logs of entries name it.
+    ///
+    /// The key itself is printed nowhere, and no entry is contacted.
+    KeyDigest,
     /// Print shell completions.
     Completions {
         /// The shell.
@@ -180,6 +186,7 @@
         Command::Targets => show::targets(&client, json).await,
         Command::Why { receipt } => show::why(&client, &receipt, json).await,
         Command::Drain => show::drain(&client, json).await,
+        Command::KeyDigest => key_digest::print(json),
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(shell, &mut command, "chestnut", &mut std::io::stdout());
--- a/crates/port/schema/feed.capnp
+++ b/crates/port/schema/feed.capnp
@@ -42,4 +42,7 @@
   # A packed delta from that version, or from nothing, to the callee's route book; empty
   # if the callee has nothing newer.
   book @3 (have :UInt64) -> (version :UInt64, delta :Data);
+  # Asks the callee, as the home of an organisation, for tokens under its limit, each of which
+  # lets one request run; after a refusal, the time until the next one.
+  tokens @4 (organisation :Text, want :UInt32) -> (isHome :Bool, granted :UInt32, afterMs :UInt32);
 }
--- a/crates/port/src/feed_capnp.rs
+++ b/crates/port/src/feed_capnp.rs
@@ -1108,6 +1108,8 @@
     pub type FollowResults<> = ::capnp::capability::Results<crate::feed_capnp::feeds::follow_results::Owned>;
     pub type BookParams<> = ::capnp::capability::Params<crate::feed_capnp::feeds::book_params::Owned>;
     pub type BookResults<> = ::capnp::capability::Results<crate::feed_capnp::feeds::book_results::Owned>;
+    pub type TokensParams<> = ::capnp::capability::Params<crate::feed_capnp::feeds::tokens_params::Owned>;
+    pub type TokensResults<> = ::capnp::capability::Results<crate::feed_capnp::feeds::tokens_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1169,12 +1171,16 @@
         pub fn book_request(&self) -> ::capnp::capability::Request<crate::feed_capnp::feeds::book_params::Owned,crate::feed_capnp::feeds::book_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
         }
+        pub fn tokens_request(&self) -> ::capnp::capability::Request<crate::feed_capnp::feeds::tokens_params::Owned,crate::feed_capnp::feeds::tokens_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn pulse(self: ::capnp::capability::Rc<Self>, _: PulseParams<>, _: PulseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method feeds::Server::pulse not implemented".to_string()))) }
         fn all(self: ::capnp::capability::Rc<Self>, _: AllParams<>, _: AllResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method feeds::Server::all not implemented".to_string()))) }
         fn follow(self: ::capnp::capability::Rc<Self>, _: FollowParams<>, _: FollowResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method feeds::Server::follow not implemented".to_string()))) }
         fn book(self: ::capnp::capability::Rc<Self>, _: BookParams<>, _: BookResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method feeds::Server::book not implemented".to_string()))) }
+        fn tokens(self: ::capnp::capability::Rc<Self>, _: TokensParams<>, _: TokensResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method feeds::Server::tokens not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1208,6 +1214,7 @@
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::all(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::follow(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::book(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                4 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::tokens(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2965,4 +2972,491 @@
             pub(crate) const TYPE_ID: u64 = 0xf74b_6e33_a3a0_70dd;
         }
     }
+
+    pub mod tokens_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_organisation(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_organisation(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_want(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_organisation(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_organisation(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_organisation(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_organisation(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_want(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_want(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(224, 199, 90, 33, 181, 156, 172, 131),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 101, 101, 100, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 70, 101, 101, 100, 115),
+                ::capnp::word(46, 116, 111, 107, 101, 110, 115, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
+                ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(119, 97, 110, 116, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) const TYPE_ID: u64 = 0x83ac_9cb5_215a_c7e0;
+        }
+    }
+
+    pub mod tokens_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_is_home(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_granted(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn get_after_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(2)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_is_home(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_is_home(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_granted(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_granted(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
+            #[inline]
+            pub fn get_after_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(2)
+            }
+            #[inline]
+            pub fn set_after_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(2, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(83, 97, 84, 203, 194, 199, 140, 177),
+                ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 101, 101, 100, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 70, 101, 101, 100, 115),
+                ::capnp::word(46, 116, 111, 107, 101, 110, 115, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(105, 115, 72, 111, 109, 101, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 102, 116, 101, 114, 77, 115, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) const TYPE_ID: u64 = 0xb18c_c7c2_cb54_6153;
+        }
+    }
 }
--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -12,7 +12,8 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
-use chestnut_unit::Revision;
+use chestnut_route::Grant;
+use chestnut_unit::{OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
 use tokio::runtime::Handle;
@@ -80,6 +81,10 @@
         revision: Revision,
         wait: Duration,
     ) -> BoxFuture<'static, Result<EncodedBatch, FeedError>>;
+
+    /// Returns the tokens that this entry grants as the home of an organisation; `None` if it
+    /// is not its home.
+    fn tokens(&self, org: &OrgName, want: u32) -> Option<Grant>;
 }
 
 /// Server and client of the feed protocol. Dropping the last clone ends its thread.
@@ -197,6 +202,41 @@
     }
 }
 
+impl FeedRpc {
+    /// Asks the entry at `to` for tokens under the limit of an organisation; `None` if it is
+    /// not its home.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`FeedError::Unavailable`] if the entry gives no valid answer in time.
+    pub async fn tokens(
+        &self,
+        to: SocketAddr,
+        org: &OrgName,
+        want: u32,
+    ) -> Result<Option<Grant>, FeedError> {
+        let org = org.clone();
+        let call = move |client: feeds::Client| async move {
+            let mut request = client.tokens_request();
+            let mut params = request.get();
+            params.set_organisation(org.as_str());
+            params.set_want(want);
+            let answer = request.send().promise.await?;
+            let answer = answer.get()?;
+            let grant = Grant {
+                tokens: answer.get_granted(),
+                after: Duration::from_millis(u64::from(answer.get_after_ms())),
+            };
+            Ok(answer.get_is_home().then_some(grant))
+        };
+        let granted = self
+            .endpoint
+            .call(to, CallTimeout::Idle(CALL_TIMEOUT), call)
+            .await;
+        granted.map_err(unavailable)
+    }
+}
+
 /// Client of the feed `name` of the entry at `to`; `T` is the type of its objects.
 pub struct PeerFeed<T> {
     rpc: FeedRpc,
--- a/crates/port/src/feed_serve.rs
+++ b/crates/port/src/feed_serve.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
-use chestnut_unit::{Revision, lock};
+use chestnut_unit::{NameError, Revision, lock};
 use tokio::runtime::Handle;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -129,6 +129,24 @@
         Ok(())
     }
 
+    /// Replies with the tokens that the entry grants as the home of an organisation.
+    async fn tokens(
+        self: Rc<Self>,
+        params: feeds::TokensParams,
+        mut results: feeds::TokensResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let org = params.get_organisation()?.to_str()?.parse();
+        let org = org.map_err(|error: NameError| Error::failed(error.to_string()))?;
+        let mut results = results.get();
+        if let Some(grant) = self.service.tokens(&org, params.get_want()) {
+            results.set_is_home(true);
+            results.set_granted(grant.tokens);
+            results.set_after_ms(u32::try_from(grant.after.as_millis()).unwrap_or(u32::MAX));
+        }
+        Ok(())
+    }
+
     /// Replies with all objects of a feed, or the error.
     async fn all(
         self: Rc<Self>,
--- a/crates/port/src/forward.rs
+++ b/crates/port/src/forward.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_route::Refusal;
-use chestnut_unit::{LeafId, Time};
+use chestnut_unit::{LeafId, OrgName, Time};
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, Method, Response, header::HeaderValue, http::uri::PathAndQuery};
 
@@ -19,6 +19,8 @@
     pub method: Method,
     /// The path and query.
     pub path: PathAndQuery,
+    /// The organisation that asks, as this entry found by its key; leafs are told.
+    pub organisation: Option<OrgName>,
     /// The headers to forward.
     pub headers: HeaderMap,
     /// The whole body.
--- a/crates/port/tests/slow_link.rs
+++ b/crates/port/tests/slow_link.rs
@@ -15,7 +15,8 @@
     Batch, Content, EncodedBatch, EncodedDelta, Feed, FeedError, FeedRpc, FeedService, Freshness,
     Item, PeerFeed,
 };
-use chestnut_unit::{Epoch, Revision};
+use chestnut_route::Grant;
+use chestnut_unit::{Epoch, OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
@@ -89,6 +90,10 @@
     ) -> BoxFuture<'static, Result<EncodedBatch, FeedError>> {
         futures::future::pending().boxed()
     }
+
+    fn tokens(&self, _: &OrgName, _: u32) -> Option<Grant> {
+        None
+    }
 }
 
 /// Proxies connections to `server`, limits the rate of responses, and stalls them while
--- a/crates/relay/src/feed_server.rs
+++ b/crates/relay/src/feed_server.rs
@@ -10,7 +10,8 @@
 use chestnut_book::BookVersion;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, EncodedBatch, EncodedDelta, FeedError, FeedService, Item};
-use chestnut_unit::{DomainName, LeafId, Revision};
+use chestnut_route::Grant;
+use chestnut_unit::{DomainName, LeafId, OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
 use slog::debug;
@@ -20,6 +21,7 @@
     HeldEvacuation, LeafRegistration, Upstream, WatchCache,
     feeds::{EVACUATIONS, HELD, LEAFS},
     history::History,
+    limits,
     shared::Shared,
 };
 
@@ -183,6 +185,10 @@
         }
         .boxed()
     }
+
+    fn tokens(&self, org: &OrgName, want: u32) -> Option<Grant> {
+        limits::grant_to_peer(&self.0, org, want)
+    }
 }
 
 /// Encodes the values of a batch as JSON; deleted and malformed objects stay such.
--- a/crates/relay/src/feeds.rs
+++ b/crates/relay/src/feeds.rs
@@ -4,7 +4,8 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_port::{EncodedDelta, Feed, FeedError, FeedRpc, Heartbeat};
-use chestnut_unit::{DomainName, LeafId};
+use chestnut_route::Grant;
+use chestnut_unit::{DomainName, LeafId, OrgName};
 use futures::{FutureExt, future::BoxFuture};
 
 use crate::{HeldEvacuation, LeafRegistration, Upstream};
@@ -18,7 +19,7 @@
 /// them.
 pub(crate) const HELD: &str = "held evacuations";
 
-/// Port to the heartbeat, route book, leafs and evacuations of other entries.
+/// Port to the heartbeat, route book, leafs, evacuations and tokens of other entries.
 pub trait PeerFeeds: Send + Sync {
     /// Returns the heartbeat of the entry at `to`: the revision of the store, or why the entry
     /// knows none, and the version of its route book.
@@ -41,6 +42,15 @@
     /// Returns the list of evacuations to which the entry at `to` holds although the restored
     /// store lacks them. It can't be watched.
     fn held(&self, to: SocketAddr) -> Arc<dyn Feed<HeldEvacuation>>;
+
+    /// Asks the entry at `to` for up to `want` tokens under the limit of an organisation;
+    /// `None` if it is not its home.
+    fn tokens<'a>(
+        &'a self,
+        to: SocketAddr,
+        org: &'a OrgName,
+        want: u32,
+    ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>>;
 }
 
 impl PeerFeeds for FeedRpc {
@@ -67,6 +77,15 @@
     fn held(&self, to: SocketAddr) -> Arc<dyn Feed<HeldEvacuation>> {
         Arc::new(self.feed(to, HELD))
     }
+
+    fn tokens<'a>(
+        &'a self,
+        to: SocketAddr,
+        org: &'a OrgName,
+        want: u32,
+    ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>> {
+        Self::tokens(self, to, org, want).boxed()
+    }
 }
 
 /// Feeds of the store, and the port to those of other entries.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -22,7 +22,10 @@
 use slog::info;
 
 use crate::{
+    authorise::{Credential, KeyFault, authorise},
+    feeds::PeerFeeds,
     leaf_calls::LeafCalls,
+    limits,
     plan::{Plan, plan},
     quarantine::{self, Attempt},
     shared::{Phase, Shared},
@@ -39,19 +42,23 @@
     pub message: Arc<ForwardedRequest>,
     /// How much longer the caller will wait, if it says so.
     pub remaining: Option<Duration>,
+    /// The key that the caller sent.
+    pub credential: Credential,
 }
 
 impl RelayRequest {
     /// The fingerprint by which the quarantine recognises repeats of a request. It includes
-    /// the credentials, as a leaf may answer one caller and crash under another, but not the
-    /// request id and deadline, which differ between attempts.
+    /// the organisation or else the credentials, as a leaf may answer one caller and crash
+    /// under another, but not the request id and deadline, which differ between attempts.
     fn fingerprint(&self) -> Fingerprint {
         let message = &self.message;
         let caller = message.headers.get(AUTHORIZATION);
+        let organisation = message.organisation.as_ref();
         Fingerprint::of(&[
             message.method.as_str().as_bytes(),
             self.host.as_bytes(),
             message.path.as_str().as_bytes(),
+            organisation.map_or(&[], |name| name.as_str().as_bytes()),
             caller.map_or(&[], HeaderValue::as_bytes),
             &message.body,
         ])
@@ -63,6 +70,8 @@
 pub enum DeclineReason {
     /// No rule of the route book matches the request.
     NoRule,
+    /// The caller's key does not identify an organisation.
+    Unauthorised(KeyFault),
     /// This entry has not read the route book or the list of leafs yet.
     NotReady,
     /// Admission, the quarantine or the targets refused it.
@@ -113,6 +122,9 @@
 /// Greatest retry delay, as few callers wait longer.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(1);
 
+/// Least retry delay after a request over the limit of its organisation: a round trip.
+const RETRY_AFTER_LIMIT: Duration = Duration::from_millis(10);
+
 /// Fields of the log line of a request, beside its reply.
 struct RequestLog {
     /// The rule that matched.
@@ -139,11 +151,17 @@
     answered: bool,
     /// Shards whose lack of capacity caused the refusal, separated by spaces.
     full_shards: String,
+    /// The organisation, or `-`, and the first digits of the digest of its key.
+    caller: (String, String),
 }
 
 /// Handles a request, logs its outcome, and records the overrun of an answer that was cut
 /// off to meet its objective. The request counts as in flight meanwhile.
-pub(crate) async fn forward(shared: &Shared, request: RelayRequest) -> Reply {
+pub(crate) async fn forward(
+    shared: &Shared,
+    peers: &dyn PeerFeeds,
+    request: RelayRequest,
+) -> Reply {
     let _in_flight = InFlightGuard::enter(&shared.in_flight);
     let start = shared.now();
     let mut log = RequestLog {
@@ -158,8 +176,10 @@
         lost_leafs: 0,
         answered: false,
         full_shards: String::new(),
+        caller: ("-".to_owned(), request.credential.prefix()),
     };
-    let reply = handle(shared, &request, start, &mut log)
+    let mut request = request;
+    let reply = handle(shared, peers, &mut request, start, &mut log)
         .await
         .unwrap_or_else(Reply::Declined);
     let elapsed = shared.now().since(start);
@@ -174,11 +194,12 @@
     reply
 }
 
-/// Runs a request: matches its rule, asks the quarantine, waits for admission, and calls
-/// leafs. Fills in `log` as far as it gets; `start` is the time of arrival.
+/// Runs a request: matches its rule, identifies its organisation and takes a token of its
+/// limit, asks the quarantine, waits for admission, and calls leafs. Fills in `log` as far as it gets; `start` is the time of arrival.
 async fn handle(
     shared: &Shared,
-    request: &RelayRequest,
+    peers: &dyn PeerFeeds,
+    request: &mut RelayRequest,
     start: Time,
     log: &mut RequestLog,
 ) -> Result<Reply, Declined> {
@@ -193,6 +214,22 @@
         return Err(not_run(DeclineReason::NoRule, None));
     };
     log.rule = Some(rule.clone());
+    let organisation = authorise(shared, &book, &rule, request.credential)
+        .map_err(|(reason, after)| not_run(reason, after))?;
+    if let Some(organisation) = &organisation {
+        log.caller.0 = organisation.name.to_string();
+        Arc::make_mut(&mut request.message).organisation = Some(organisation.name.clone());
+    }
+    let mut permit = match &organisation {
+        Some(organisation) => limits::admit(shared, peers, organisation)
+            .await
+            .map_err(over_limit)?,
+        None => None,
+    };
+    let rank = organisation
+        .as_ref()
+        .and_then(|org| org.rank)
+        .unwrap_or(rule.rank);
     let fingerprint = request.fingerprint();
     let trust = quarantine::admit(shared, fingerprint)?;
     let draw = shared.runtime.rng().next_u64();
@@ -214,7 +251,7 @@
     let deadline = start + timeout;
     let admission = AdmitRequest {
         id: shared.next_request(),
-        urgency: urgency(rule.rank),
+        urgency: urgency(rank),
         deadline,
         sheddable: Sheddable::Yes,
     };
@@ -236,6 +273,10 @@
     };
     let leaf_calls = leaf_calls(shared, &rule, request);
     let _attempt = Attempt::new(shared, fingerprint, leaf_calls.outcomes.clone());
+    // Counted also if the caller leaves while it runs.
+    if let Some(permit) = &mut permit {
+        permit.set_spent(true);
+    }
     let query = run(
         &shared.runtime,
         &shared.cell,
@@ -245,6 +286,9 @@
         config,
     )
     .await;
+    if let (Some(permit), true) = (&mut permit, query.not_run().is_some()) {
+        permit.set_spent(false);
+    }
     log.cut_short = query.end() == Some(End::Partial(PartialReason::Sufficient));
     log.calls = query.calls();
     log.withheld = query.withheld();
@@ -292,7 +336,7 @@
     admitted.shed_calls = query.shed_calls();
 }
 
-/// Maps the rank of a rule to the urgency of its requests in admission; 0 is the most urgent.
+/// Maps the rank of a rule or an organisation to the urgency of its requests in admission; 0 is the most urgent.
 fn urgency(rank: u32) -> Urgency {
     match rank {
         0 => Urgency::Now,
@@ -374,6 +418,13 @@
     base.mul_f64(0.5 + draw as f64 / u64::MAX as f64)
 }
 
+/// The refusal of a request over the limit of its organisation, which may come back `after`
+/// that time.
+fn over_limit(after: Duration) -> Declined {
+    let reason = DeclineReason::Declined(Reason::OrgLimit);
+    not_run(reason, Some(after.max(RETRY_AFTER_LIMIT)))
+}
+
 /// The refusal of a request that has not run on any leaf.
 fn not_run(reason: DeclineReason, retry_after: Option<Duration>) -> Declined {
     Declined {
@@ -413,6 +464,7 @@
         "request" => &request.message.id, "asks" => %request.fingerprint(), "rule" => rule, "book" => log.version,
         "left_ms" => request.remaining.map(|left| left.as_millis() as u64),
         "ahead_ms" => log.send_by.map(|send_by| send_by.as_millis() as u64),
+        "organisation" => &log.caller.0, "key" => &log.caller.1,
         "calls" => log.calls, "withheld" => log.withheld, "missing" => missing, "in_vain" => &log.failed_leafs,
         "lost" => log.lost_leafs, "answered" => log.answered, "full" => &log.full_shards, "run" => run,
         "ms" => elapsed.as_secs_f64() * 1e3);
@@ -424,6 +476,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::NoRule => "no rule",
+            Self::Unauthorised(fault) => fault.as_str(),
             Self::NotReady => "not ready",
             Self::Declined(reason) => reason.as_str(),
             Self::Timeout => "timeout",
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 
 mod adverts;
 mod apply;
+mod authorise;
 mod book_fetch;
 mod callers;
 mod cold;
@@ -32,6 +33,7 @@
 mod leaf_calls;
 mod leaf_changes;
 mod leafs;
+mod limits;
 mod list_watch;
 mod members;
 mod metrics;
@@ -45,6 +47,7 @@
 mod report;
 mod restore;
 mod settings;
+mod settings_file;
 mod shared;
 mod state;
 mod store_status;
@@ -55,6 +58,7 @@
 pub use chestnut_port::Distance;
 
 pub use adverts::{Advert, Adverts};
+pub use authorise::{Credential, KeyFault};
 pub use cold::{ColdLimits, LeaseStore};
 pub use evacuations::{EvacuationChange, Evacuations, HeldEvacuation};
 pub use feeds::PeerFeeds;
@@ -66,7 +70,10 @@
 pub use quota::{Quota, Rate, Role};
 pub use records::{QuarantineRecord, RecordStore};
 pub use relay::{FeedBinder, Relay, RelayPorts};
-pub use settings::{ExtraCalls, RelayEntry, RelayListen, RelaySettings, StoreSettings, Times};
+pub use settings::{
+    ExtraCalls, KeyChecks, RelayEntry, RelayListen, RelaySettings, StoreSettings, Times,
+};
+pub use settings_file::{Reload, SettingsFile};
 pub use shared::Phase;
 pub use store_status::{PollNews, StoreStatus};
 pub use upstream::{Cause, Upstream, UpstreamSelector};
--- /dev/null
+++ b/crates/relay/src/limits.rs
@@ -0,0 +1,228 @@
+//! Limits of organisations over all entries: tokens that the home of an organisation grants.
+//!
+//! A request of an organisation with a limit needs a token. The home, one entry for each
+//! organisation, keeps its token bucket; an entry that can't reach it admits a small part of
+//! the limit by itself.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex, time::Duration};
+
+use chestnut_book::Organisation;
+use chestnut_fleet::{Homes, Reach};
+use chestnut_flow::lock;
+use chestnut_route::{Allowances, Grant, OrgUse, RateHome, RateMargins, Take, Token};
+use chestnut_unit::{MemberId, OrgName, RateLimit, Time};
+use slog::debug;
+use tokio::time::timeout;
+
+use crate::{feeds::PeerFeeds, shared::Shared};
+
+/// How long a request waits for the home's answer. Far more than a round trip, and little
+/// compared with the latency objective of an urgent request.
+const ASK_TIMEOUT: Duration = Duration::from_millis(40);
+
+/// The tokens that this entry holds, those that it grants as a home, and which entry is the
+/// home of each organisation.
+pub(crate) struct OrgLimits {
+    state: Mutex<LimitState>,
+}
+
+struct LimitState {
+    allowances: Allowances,
+    home: RateHome,
+    homes: Homes,
+    peers: BTreeMap<MemberId, SocketAddr>,
+    reach: Reach,
+}
+
+/// The entry that grants the tokens of an organisation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Home {
+    Own,
+    Peer(SocketAddr),
+}
+
+/// The members as this entry sees them, for the choice of homes.
+pub(crate) struct HomeView {
+    /// The homes, among the members that are alive and accept work.
+    pub(crate) homes: Homes,
+    /// Addresses for peers of these members.
+    pub(crate) peers: BTreeMap<MemberId, SocketAddr>,
+    /// All members that are not stopped by plan, and whether each is alive.
+    pub(crate) members: BTreeMap<MemberId, bool>,
+}
+
+impl OrgLimits {
+    /// Creates the limits of an entry that starts and knows no other; there are `expected`
+    /// entries at least.
+    pub(crate) fn new(margins: RateMargins, expected: usize) -> Self {
+        let state = LimitState {
+            allowances: Allowances::new(margins),
+            home: RateHome::new(margins, Time::ZERO),
+            homes: Homes::default(),
+            peers: BTreeMap::new(),
+            reach: Reach::starting(expected, Time::ZERO),
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    /// Applies changed settings.
+    pub(crate) fn set_margins(&self, margins: RateMargins) {
+        let mut state = lock(&self.state);
+        state.allowances.set_margins(margins);
+        state.home.set_margins(margins);
+    }
+
+    /// Updates the members. Organisations whose home has changed get a new bucket there.
+    pub(crate) fn update(&self, view: HomeView, own: &MemberId, now: Time) {
+        let mut state = lock(&self.state);
+        let state = &mut *state;
+        state.peers = view.peers;
+        let members = view.members.iter().map(|(id, alive)| (id, *alive));
+        state.reach.update(members, now);
+        if state.homes != view.homes {
+            state.homes = view.homes;
+            let homes = &state.homes;
+            let is_home = |org: &OrgName| homes.home_of(org) == Some(own);
+            state.home.members_changed(is_home, now);
+        }
+    }
+
+    /// The organisations that asked at this entry, with what became of their requests, the
+    /// `most` that asked most; and the sum of the others.
+    pub(crate) fn usage(&self, most: usize) -> (Vec<(OrgName, OrgUse)>, OrgUse) {
+        let state = lock(&self.state);
+        let mut list: Vec<(OrgName, OrgUse)> = state
+            .allowances
+            .usage()
+            .map(|(org, usage)| (org.clone(), *usage))
+            .collect();
+        drop(state);
+        list.sort_by_key(|(_, usage)| std::cmp::Reverse(usage.asked));
+        let others = list.split_off(most.min(list.len()));
+        let mut rest = OrgUse::default();
+        for (_, usage) in others {
+            rest.asked += usage.asked;
+            rest.refused += usage.refused;
+            rest.detached += usage.detached;
+        }
+        (list, rest)
+    }
+}
+
+impl LimitState {
+    /// Returns the home of an organisation; this entry if it knows no member.
+    fn home_of(&self, org: &OrgName, own: &MemberId) -> Home {
+        match self.homes.home_of(org) {
+            Some(id) if id != own => self.peers.get(id).map_or(Home::Own, |to| Home::Peer(*to)),
+            _ => Home::Own,
+        }
+    }
+}
+
+/// A token for one request. It is given back when dropped, unless the request may have run.
+pub(crate) struct Permit<'a> {
+    shared: &'a Shared,
+    org: OrgName,
+    token: Token,
+    spent: bool,
+}
+
+impl Permit<'_> {
+    /// Marks the token as used or not.
+    pub(crate) fn set_spent(&mut self, spent: bool) {
+        self.spent = spent;
+    }
+}
+
+impl Drop for Permit<'_> {
+    fn drop(&mut self) {
+        if !self.spent {
+            let now = self.shared.now();
+            let mut state = lock(&self.shared.limits.state);
+            state.allowances.give_back(&self.org, self.token, now);
+        }
+    }
+}
+
+/// Takes a token for a request of an organisation, from its home if this entry holds none;
+/// `None` if the organisation has no limit. The error is the delay after which the caller may
+/// come back.
+pub(crate) async fn admit<'a>(
+    shared: &'a Shared,
+    peers: &dyn PeerFeeds,
+    organisation: &Organisation,
+) -> Result<Option<Permit<'a>>, Duration> {
+    let Some(limit) = organisation.limit else {
+        return Ok(None);
+    };
+    let org = &organisation.name;
+    let entries = lock(&shared.cell.state).extra.quota.serving;
+    let now = shared.now();
+    let take = lock(&shared.limits.state)
+        .allowances
+        .take(org, limit, entries, now);
+    let take = match take {
+        Take::Ask(want) => {
+            let answer = ask(shared, peers, org, limit, want).await;
+            let mut state = lock(&shared.limits.state);
+            let allowances = &mut state.allowances;
+            allowances.answered(org, limit, entries, answer, now, shared.now())
+        }
+        take => take,
+    };
+    match take {
+        Take::Granted(token) => Ok(Some(Permit {
+            shared,
+            org: org.clone(),
+            token,
+            spent: false,
+        })),
+        Take::Refused(after) => Err(after),
+        Take::Ask(_) => unreachable!("the home was asked"),
+    }
+}
+
+/// Asks the home of an organisation for tokens; `None` without an answer in time.
+async fn ask(
+    shared: &Shared,
+    peers: &dyn PeerFeeds,
+    org: &OrgName,
+    limit: RateLimit,
+    want: u32,
+) -> Option<Grant> {
+    let own = &shared.settings.entry.member;
+    let home = lock(&shared.limits.state).home_of(org, own);
+    let to = match home {
+        Home::Own => return Some(grant(shared, org, limit, want)),
+        Home::Peer(to) => to,
+    };
+    let answer = timeout(ASK_TIMEOUT, peers.tokens(to, org, want)).await;
+    let grant = answer.ok().and_then(Result::ok).flatten();
+    if grant.is_none() {
+        debug!(shared.runtime.log, "limit: no answer of the home of {org}"; "home" => %to);
+    }
+    grant
+}
+
+/// Grants tokens to a peer that takes this entry for the home of an organisation; `None` if it
+/// is not, or knows no such limit.
+pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, want: u32) -> Option<Grant> {
+    let own = &shared.settings.entry.member;
+    if lock(&shared.limits.state).home_of(org, own) != Home::Own {
+        return None;
+    }
+    let book = lock(&shared.cell.state).extra.book.clone()?;
+    let limit = book.organisations()?.get(org)?.limit?;
+    Some(grant(shared, org, limit, want))
+}
+
+/// Grants tokens as the home of an organisation.
+fn grant(shared: &Shared, org: &OrgName, limit: RateLimit, want: u32) -> Grant {
+    let now = shared.now();
+    let store_lost = shared.store_status.borrow().lost_for(now);
+    let mut state = lock(&shared.limits.state);
+    let share = state.reach.share(store_lost, now);
+    state.home.grant(org, limit, share, want, now)
+}
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -15,8 +15,8 @@
 };
 
 use chestnut_fleet::{
-    Addresses, Candidate, Change, DelayedDecrease, IncarnationPolicy, Liveness, Member, Message,
-    Outgoing, Status, Swim, SwimConfig, serving_entries,
+    Addresses, Candidate, Change, DelayedDecrease, Homes, IncarnationPolicy, Liveness, Member,
+    Message, Outgoing, Status, Swim, SwimConfig, serving_entries,
 };
 use chestnut_flow::lock;
 use chestnut_port::ProbeTransport;
@@ -26,7 +26,9 @@
 use tokio::time::sleep_until;
 
 use crate::{
-    Advert, Cause, Distance, Quota, Rate, RelaySettings, Role, Upstream, quarantine,
+    Advert, Cause, Distance, Quota, Rate, RelaySettings, Role, Upstream,
+    limits::HomeView,
+    quarantine,
     restore::hear_epoch,
     shared::{Phase, Shared},
     state::LeafDomains,
@@ -170,6 +172,22 @@
         }
     }
 
+    /// The members as far as they matter for the homes of organisations.
+    fn home_view(&self) -> HomeView {
+        let swim = lock(&self.swim);
+        let alive = |member: &Member| member.liveness == Liveness::Alive && is_started(&member);
+        let working = || swim.view.accepting_work().filter(|member| alive(member));
+        let homes = Homes::new(working().map(|member| (&member.id, member.weight)));
+        let peers = working().map(|member| (member.id.clone(), member.addresses.peers));
+        let members = swim.view.all().filter(|member| !member.leaving);
+        let members = members.map(|member| (member.id.clone(), alive(member)));
+        HomeView {
+            homes,
+            peers: peers.collect(),
+            members: members.collect(),
+        }
+    }
+
     /// Describes a member as a candidate for serving, identified by `id`: its weight, its load,
     /// and whether its domain is one of `leaf_domains`. For this entry the load is the own average.
     fn candidate<T>(
@@ -489,9 +507,12 @@
 }
 
 /// Updates this entry's quota of the shared limits from the members that are present,
-/// including those that are leaving; also the metric of members and the set of local peers.
+/// including those that are leaving; also the homes of organisations, the metric of members and
+/// the set of local peers.
 pub(crate) fn update_quota(shared: &Shared, members: &Members) {
     shared.metrics.members.set(members.count() as i64);
     shared.traffic.set_local(members.local_peers(shared));
     shared.set_quota(members.quota(shared));
+    let (view, own) = (members.home_view(), &shared.settings.entry.member);
+    shared.limits.update(view, own, shared.now());
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -8,8 +8,8 @@
 
 use chestnut_flow::lock;
 use chestnut_port::{Direction, Distance, Purpose};
-use chestnut_route::CallKind;
-use chestnut_unit::Epoch;
+use chestnut_route::{CallKind, OrgUse};
+use chestnut_unit::{Epoch, OrgName};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -62,6 +62,16 @@
     cause: String,
 }
 
+/// Labels of counts by organisation: its name, or `rest` for all but a few, and the kind.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct OrgLabels {
+    organisation: String,
+    kind: &'static str,
+}
+
+/// Label of the sum of the organisations that have no label of their own.
+const OTHER_ORGANISATIONS: &str = "rest";
+
 /// The metrics of one entry, and their registry.
 pub(crate) struct Metrics {
     /// Names and help texts of all metrics, for encoding.
@@ -110,6 +120,8 @@
     extra_calls: Family<KindLabels, Gauge<f64, AtomicU64>>,
     /// Requests with a quarantine record, and those refused now.
     quarantine_records: Family<KindLabels, Gauge>,
+    /// Requests under limits by organisation, the few that ask most and the rest, and by kind.
+    organisations: Family<OrgLabels, Gauge>,
     /// Requests being handled.
     pub(crate) in_flight: Gauge,
     /// Classes of calls in the routing table.
@@ -145,6 +157,7 @@
             bytes: Family::default(),
             extra_calls: Family::default(),
             quarantine_records: Family::default(),
+            organisations: Family::default(),
             in_flight: Gauge::default(),
             classes: Gauge::default(),
         };
@@ -208,6 +221,9 @@
         r.register("extra_calls", extra, self.extra_calls.clone());
         let cases = "Requests under which leafs ended: known, and refused now";
         r.register("cases", cases, self.quarantine_records.clone());
+        let limited =
+            "Requests under the limits of organisations: asked, refused, without the home";
+        r.register("limited_requests", limited, self.organisations.clone());
         r.register("in_flight", "Requests that run", self.in_flight.clone());
         r.register("classes", "Classes of calls", self.classes.clone());
     }
@@ -290,6 +306,24 @@
         }
     }
 
+    /// Sets the requests under limits of the organisations that ask most, and of the rest.
+    pub(crate) fn set_organisations(&self, largest: &[(OrgName, OrgUse)], rest: OrgUse) {
+        self.organisations.clear();
+        let named = largest.iter().map(|(org, usage)| (org.as_str(), *usage));
+        for (org, usage) in named.chain([(OTHER_ORGANISATIONS, rest)]) {
+            let kinds = [
+                ("asked", usage.asked),
+                ("refused", usage.refused),
+                ("detached", usage.detached),
+            ];
+            for (kind, count) in kinds {
+                let organisation = org.to_owned();
+                let labels = OrgLabels { organisation, kind };
+                self.organisations.get_or_create(&labels).set(count as i64);
+            }
+        }
+    }
+
     /// Sets the total of one kind of the extra-call accounts, such as earned, spent or unpaid.
     pub(crate) fn set_extra_calls(&self, kind: &'static str, calls: f64) {
         self.extra_calls
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,10 +9,10 @@
 
 use chestnut_book::{CallerLimits, RouteBook};
 use chestnut_flow::{Runtime, lock};
-use chestnut_port::{Feed, FeedService, Forward, ProbeTransport, Traffic};
+use chestnut_port::{Feed, FeedService, Forward, ProbeTransport, ServeLimits, Traffic};
 use chestnut_unit::{DomainName, LeafId};
 use futures::future::BoxFuture;
-use slog::info;
+use slog::{Logger, info};
 use tokio::{sync::watch, task::JoinSet, time::sleep};
 
 use crate::{
@@ -33,6 +33,11 @@
     upstream_poll,
 };
 
+/// Fraction of the grace period in which callers that still connect are served.
+const SERVE_FRACTION: f64 = 0.75;
+/// Time at the end of the grace period reserved for the last log lines and the exit.
+const EXIT_RESERVE: Duration = Duration::from_millis(400);
+
 /// Called once at the start: serves this entry's feeds to other entries and returns the
 /// client of theirs. Fails if the address for peers can't be bound.
 pub type FeedBinder = Box<
@@ -69,6 +74,7 @@
 pub struct Relay {
     shared: Arc<Shared>,
     members: Arc<Members>,
+    peers: Arc<dyn PeerFeeds>,
     /// The background tasks, which end when the last clone is dropped.
     _tasks: Arc<JoinSet<()>>,
 }
@@ -113,6 +119,7 @@
         tasks.spawn(feed_watch::leafs(shared.clone(), feeds.clone()));
         tasks.spawn(feed_watch::evacuations(shared.clone(), feeds.clone()));
         tasks.spawn(book_fetch::run(shared.clone(), feeds.clone()));
+        let peers = feeds.peers.clone();
         tasks.spawn(restore::run(shared.clone(), members.clone(), feeds));
         tasks.spawn(adverts::discover(
             shared.clone(),
@@ -133,6 +140,7 @@
         Ok(Self {
             shared,
             members,
+            peers,
             _tasks: Arc::new(tasks),
         })
     }
@@ -140,7 +148,7 @@
     /// Forwards a request to leafs and returns the reply, [`Reply::Declined`] if there is no
     /// answer. Dropping the future cancels its calls.
     pub async fn forward(&self, request: RelayRequest) -> Reply {
-        forward::forward(&self.shared, request).await
+        forward::forward(&self.shared, &*self.peers, request).await
     }
 
     /// The current phase: starting, serving or leaving.
@@ -164,6 +172,32 @@
         book.map_or_else(CallerLimits::default, |book| book.limits)
     }
 
+    /// Limits of the server for callers, by the route book in force and the settings.
+    #[must_use]
+    pub fn serve_limits(&self) -> ServeLimits {
+        let limits = self.limits();
+        ServeLimits {
+            max_head: limits.head,
+            head_timeout: limits.head_time,
+            idle_timeout: limits.idle_time,
+            max_connections: self.max_caller_connections(),
+        }
+    }
+
+    /// The log of this entry.
+    pub(crate) fn log(&self) -> &Logger {
+        &self.shared.runtime.log
+    }
+
+    /// Whether callers need a key, by the route book in force; front ends then remove it from
+    /// requests and pass its digest.
+    #[must_use]
+    pub fn needs_keys(&self) -> bool {
+        let state = lock(&self.shared.cell.state);
+        let book = state.extra.book.as_ref();
+        book.is_some_and(|book| book.organisations().is_some())
+    }
+
     /// Addresses of the serving entries that callers should connect to, a random selection of
     /// at most `most`. This entry is among them only while it serves.
     #[must_use]
@@ -198,7 +232,7 @@
     /// Applies changed settings: the budget for extra calls and the times. Addresses and
     /// the identity of the entry can't change while it runs.
     pub fn reload(&self, settings: &RelaySettings) {
-        self.shared.reload(settings.extra, settings.times);
+        self.shared.reload(settings);
     }
 
     /// Maximum number of open connections from callers, a share of the entry's file
@@ -224,6 +258,25 @@
         members::leave(shared, &self.members).await;
     }
 
+    /// Stops by plan: leaves, serves callers that still come for part of the grace period or
+    /// until `again` is ready, a further request to stop, and then closes their connections
+    /// with `close` in the time that remains.
+    pub async fn stop<F: Future<Output = ()>>(
+        &self,
+        again: impl Future<Output = ()>,
+        close: impl FnOnce(Duration) -> F,
+    ) {
+        let grace = self.grace();
+        self.leave().await;
+        let serve = grace.mul_f64(SERVE_FRACTION);
+        tokio::select! {
+            () = sleep(serve) => {}
+            () = again => {}
+        }
+        close(grace.saturating_sub(serve).saturating_sub(EXIT_RESERVE)).await;
+        self.finish(EXIT_RESERVE / 4).await;
+    }
+
     /// Waits until no request is in flight, for at most `wait`, and then announces to other
     /// members that the entry stops. It does not end the tasks.
     pub async fn finish(&self, wait: Duration) {
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -14,6 +14,9 @@
 /// of requests.
 const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// Organisations with metrics of their own.
+const ORGANISATIONS_SHOWN: usize = 8;
+
 /// Total bytes by purpose, distance and direction.
 #[derive(Clone, Copy, Default)]
 struct ByteTotals([[[u64; 2]; 2]; Purpose::ALL.len()]);
@@ -75,6 +78,7 @@
 /// delays, for as long as the entry runs. No line on extra calls if there was no first call.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let (mut bytes, mut extra) = (ByteTotals::default(), ExtraTotals::default());
+    let mut refused = 0;
     loop {
         sleep(LOG_INTERVAL).await;
         let now = ByteTotals::read(&shared.traffic);
@@ -109,7 +113,26 @@
                 "way_ms" => delay.as_secs_f64() * 1e3, "way_samples" => samples, "overrun_ms" => overrun.as_secs_f64() * 1e3);
         }
         extra = next;
+        log_organisations(&shared, &mut refused);
+    }
+}
+
+/// Logs the requests under limits since the start, if any were refused since the last line;
+/// `refused` is their number then.
+fn log_organisations(shared: &Shared, refused: &mut u64) {
+    let (largest, rest) = shared.limits.usage(ORGANISATIONS_SHOWN);
+    let all = || largest.iter().map(|(_, usage)| usage).chain([&rest]);
+    let now = all().map(|usage| usage.refused).sum();
+    if now == *refused {
+        return;
     }
+    *refused = now;
+    let list: Vec<String> = largest
+        .iter()
+        .map(|(org, usage)| format!("{org}={}/{}/{}", usage.asked, usage.refused, usage.detached))
+        .collect();
+    info!(shared.runtime.log, "limit: organisations"; "asked_refused_detached" => list.join(" "),
+        "refused" => now, "detached" => all().map(|usage| usage.detached).sum::<u64>());
 }
 
 /// Updates the metrics that are read from counters elsewhere: bytes, calls in flight to
@@ -133,6 +156,8 @@
         .metrics
         .evacuated_calls
         .set(i64::from(evacuated_calls));
+    let (largest, rest) = shared.limits.usage(ORGANISATIONS_SHOWN);
+    shared.metrics.set_organisations(&largest, rest);
     shared.metrics.set_extra_calls("earned", totals.earned);
     shared.metrics.set_extra_calls("lost", totals.discarded);
     shared.metrics.set_extra_calls("spent", totals.spent);
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::ColdLimits;
 use chestnut_conf::{LogSettings, SettingsError, duration, read_settings};
+use chestnut_route::RateMargins;
 use chestnut_unit::{DomainName, MemberId, Share};
 use serde::Deserialize;
 
@@ -29,6 +30,12 @@
     /// Limits on calls to cold leafs, where the book bounds their rate.
     #[serde(default)]
     pub cold: ColdLimits,
+    /// By how much all entries together may exceed the limits of organisations.
+    #[serde(default)]
+    pub limits: RateMargins,
+    /// How keys of organisations are checked.
+    #[serde(default)]
+    pub keys: KeyChecks,
     /// Durations of stopping, draining and caching.
     pub times: Times,
     /// Logging.
@@ -124,6 +131,38 @@
     }
 }
 
+/// How keys of organisations are checked while the store is lost, when keys that were taken
+/// away may still look valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct KeyChecks {
+    /// Whether to refuse all requests that need a key once the store has confirmed nothing
+    /// for `confirm`.
+    pub strict: bool,
+    /// How long a key that was taken away may still be accepted if the checks are strict.
+    #[serde(with = "duration")]
+    pub confirm: Duration,
+}
+
+impl KeyChecks {
+    /// How long polls of the store may have failed before strict checks refuse: the last
+    /// answer was some time before the first failure.
+    #[must_use]
+    pub fn patience(&self) -> Duration {
+        self.confirm.saturating_sub(PROPAGATION_MAX)
+    }
+}
+
+impl Default for KeyChecks {
+    /// Not strict, and 5 s.
+    fn default() -> Self {
+        Self {
+            strict: false,
+            confirm: Duration::from_secs(5),
+        }
+    }
+}
+
 /// Durations of stopping, draining and caching.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -231,6 +270,23 @@
             let problem = "over or slack is out of range".to_owned();
             return fail("cold", problem, "Write over and slack from 0 to 1000000.");
         }
+        let RateMargins {
+            window,
+            over,
+            slack,
+        } = self.limits;
+        if !(WINDOW_MIN..=SLACK_MAX).contains(&window) {
+            let problem = format!("{window} is out of range");
+            return fail(
+                "limits.window",
+                problem,
+                "Write seconds from 0.1 to 1000000.",
+            );
+        }
+        if !in_range(over) || !in_range(slack) {
+            let problem = "over or slack is out of range".to_owned();
+            return fail("limits", problem, "Write over and slack from 0 to 1000000.");
+        }
         if self.times.grace < GRACE_MIN {
             let problem = format!("{:?} is too short to finish requests", self.times.grace);
             return fail("times.grace", problem, "Write a span of 1s or more.");
@@ -253,7 +309,9 @@
 /// Fewest file descriptors that `entry.files` may give, as some are reserved for other uses
 /// than sockets.
 const FILES_MIN: usize = 300;
-/// Greatest `extra.slack`, `cold.over` and `cold.slack`, far above the load of any service.
+/// Greatest number in `extra`, `cold` and `limits`, far above the load of any service.
 const SLACK_MAX: f64 = 1e6;
+/// Shortest `limits.window`, in seconds.
+const WINDOW_MIN: f64 = 0.1;
 /// Shortest `times.grace`: other entries and callers have to learn of the stop.
 const GRACE_MIN: Duration = Duration::from_secs(1);
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -22,11 +22,12 @@
 use crate::{
     cold::refresh_cold,
     feed_server::FeedCopies,
+    limits::OrgLimits,
     metrics::Metrics,
     propagation::BookPropagation,
     quarantine::SuspectAttempt,
     quota::Quota,
-    settings::{ExtraCalls, RelaySettings, Times},
+    settings::RelaySettings,
     state::{LeafDomains, RelayState, admission_queue, set_bounds, set_budgets},
     store_status::StoreStatus,
     upstream::{Upstream, UpstreamSelector},
@@ -91,6 +92,8 @@
     pub(crate) suspect_attempts: mpsc::Sender<SuspectAttempt>,
     /// Queue of requests whose record in the store has to be updated.
     pub(crate) record_updates: mpsc::Sender<Fingerprint>,
+    /// The limits of organisations.
+    pub(crate) limits: OrgLimits,
     /// Requests that run now.
     pub(crate) in_flight: AtomicU32,
     /// Total number of calls to leafs.
@@ -119,6 +122,7 @@
         let name = ServiceName::new("relay").expect("a legal name");
         let cell = Cell::new(name, Table::new(config), admission_queue(), relay_state);
         Self {
+            limits: OrgLimits::new(settings.limits, settings.seeds.len()),
             settings,
             runtime,
             cell: Arc::new(cell),
@@ -235,10 +239,13 @@
     }
 
     /// Applies the settings that may change while the entry runs: the bound on extra calls,
-    /// and the times with the timeouts of leafs that follow from them.
-    pub(crate) fn reload(&self, extra: ExtraCalls, times: Times) {
+    /// the checks of keys, the margins of limits, and the times with the timeouts of leafs that follow from them.
+    pub(crate) fn reload(&self, settings: &RelaySettings) {
+        let (extra, times) = (settings.extra, settings.times);
+        self.limits.set_margins(settings.limits);
         let mut state = lock(&self.cell.state);
         let state = &mut *state;
+        state.extra.keys = settings.keys;
         state.extra.extra = extra;
         state.extra.times = times;
         state
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -22,7 +22,7 @@
     evacuations::Evacuations,
     leafs::Leafs,
     quota::Quota,
-    settings::{ExtraCalls, RelaySettings, Times},
+    settings::{ExtraCalls, KeyChecks, RelaySettings, Times},
 };
 
 /// A leaf in the routing table: id, address, service, distance and number of slots.
@@ -104,6 +104,8 @@
     pub(crate) quota: Quota,
     /// Bandwidth of this entry's link, in megabits per second.
     pub(crate) link: f64,
+    /// How keys of organisations are checked, reloadable.
+    pub(crate) keys: KeyChecks,
     /// The bound on extra calls, reloadable.
     pub(crate) extra: ExtraCalls,
     /// The configured durations, reloadable.
@@ -131,6 +133,7 @@
             leaf_domains: None,
             quota: Quota::initial(),
             link: settings.entry.link,
+            keys: settings.keys,
             extra: settings.extra,
             times,
         }
--- a/crates/relay/src/store_status.rs
+++ b/crates/relay/src/store_status.rs
@@ -92,6 +92,12 @@
         self.lost_since.is_some()
     }
 
+    /// Returns for how long all polls have failed; `None` while the store answers.
+    #[must_use]
+    pub fn lost_for(&self, now: Time) -> Option<Duration> {
+        self.lost_since.map(|since| now.since(since))
+    }
+
     /// Returns the greatest revision seen; the lowest before the first answer.
     #[must_use]
     pub fn revision(&self) -> Revision {
--- /dev/null
+++ b/crates/relay/tests/limits_model.rs
@@ -0,0 +1,383 @@
+//! The limit of an organisation over many entries, in virtual time: entries end, start, are cut
+//! off and see each other differently, and the limit is lowered under load.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use chestnut_fleet::{Homes, Reach};
+use chestnut_route::{Allowances, Grant, RateHome, RateMargins, Take};
+use chestnut_unit::{MemberId, OrgName, RateLimit, Time};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const MARGINS: RateMargins = RateMargins {
+    window: 5.0,
+    over: 0.1,
+    slack: 20.0,
+};
+/// Longest time until an entry sees that others have ended or come.
+const NOTICE_TIME: f64 = 2.0;
+
+/// What one side of a partition sees of the members.
+struct Seen {
+    homes: Homes,
+    reach: Reach,
+}
+
+struct Entry {
+    id: MemberId,
+    up: bool,
+    side: usize,
+    /// Since when it has lost the store.
+    store_lost: Option<Time>,
+    seen: Rc<Seen>,
+    /// When it will see the members as they are.
+    notices: Option<Time>,
+    allowances: Allowances,
+    home: RateHome,
+}
+
+struct World {
+    entries: Vec<Entry>,
+    numbers: BTreeMap<MemberId, usize>,
+    org: OrgName,
+    rng: ChaCha8Rng,
+    now: Time,
+    /// The members as each side sees them, until they change.
+    truth: [Option<Rc<Seen>>; 2],
+    reach: [Reach; 2],
+    ran: Vec<Time>,
+    refused: usize,
+    asks: usize,
+}
+
+impl World {
+    fn new(count: usize, seed: u64) -> Self {
+        let seen = Rc::new(Seen {
+            homes: Homes::default(),
+            reach: Reach::default(),
+        });
+        let entry = |n| Entry {
+            id: MemberId::new(format!("entry-{n}")).unwrap(),
+            up: true,
+            side: 0,
+            store_lost: None,
+            seen: seen.clone(),
+            notices: None,
+            allowances: Allowances::new(MARGINS),
+            home: RateHome::new(MARGINS, Time::ZERO),
+        };
+        let entries: Vec<Entry> = (0..count).map(entry).collect();
+        let numbers = entries.iter().enumerate();
+        let mut world = Self {
+            numbers: numbers.map(|(n, entry)| (entry.id.clone(), n)).collect(),
+            entries,
+            org: OrgName::new("club").unwrap(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Time::ZERO,
+            truth: [None, None],
+            reach: [Reach::default(), Reach::default()],
+            ran: Vec::new(),
+            refused: 0,
+            asks: 0,
+        };
+        for n in 0..count {
+            world.notice(n);
+        }
+        world
+    }
+
+    /// The members as one side sees them: a tenth is strong.
+    fn truth(&mut self, side: usize) -> Rc<Seen> {
+        if let Some(seen) = &self.truth[side] {
+            return seen.clone();
+        }
+        let works = |entry: &Entry| entry.up && entry.side == side;
+        let members = self.entries.iter();
+        let members = members.map(|entry| (&entry.id, works(entry)));
+        self.reach[side].update(members, self.now);
+        let working: Vec<&Entry> = self.entries.iter().filter(|entry| works(entry)).collect();
+        let weight = |entry: &Entry| {
+            if self.numbers[&entry.id].is_multiple_of(10) {
+                4000
+            } else {
+                800
+            }
+        };
+        let seen = Rc::new(Seen {
+            homes: Homes::new(working.iter().map(|entry| (&entry.id, weight(entry)))),
+            reach: self.reach[side].clone(),
+        });
+        self.truth[side] = Some(seen.clone());
+        seen
+    }
+
+    /// Lets an entry see the members as they are.
+    fn notice(&mut self, n: usize) {
+        let seen = self.truth(self.entries[n].side);
+        let (org, now) = (self.org.clone(), self.now);
+        let entry = &mut self.entries[n];
+        let id = entry.id.clone();
+        let is_home = |_: &OrgName| seen.homes.home_of(&org) == Some(&id);
+        entry.home.members_changed(is_home, now);
+        entry.seen = seen;
+        entry.notices = None;
+    }
+
+    /// Makes all entries notice a change, each in its own time.
+    fn changed(&mut self) {
+        self.truth = [None, None];
+        for entry in &mut self.entries {
+            let delay = Duration::from_secs_f64(self.rng.random::<f64>() * NOTICE_TIME);
+            entry.notices = Some(self.now + delay);
+        }
+    }
+
+    fn home(&self) -> usize {
+        self.numbers[self.entries[0].seen.homes.home_of(&self.org).unwrap()]
+    }
+
+    fn end(&mut self, n: usize) {
+        self.entries[n].up = false;
+        self.changed();
+    }
+
+    /// Starts an entry that knows only itself until it notices the others.
+    fn restart(&mut self, n: usize) {
+        let now = self.now;
+        let count = self.entries.len();
+        let entry = &mut self.entries[n];
+        entry.up = true;
+        entry.allowances = Allowances::new(MARGINS);
+        entry.home = RateHome::new(MARGINS, now);
+        entry.seen = Rc::new(Seen {
+            homes: Homes::new([(&entry.id, 800)]),
+            reach: Reach::starting(count, now),
+        });
+    }
+
+    /// Asks the home that entry `n` believes in.
+    fn ask(&mut self, n: usize, limit: RateLimit, want: u32) -> Option<Grant> {
+        self.asks += 1;
+        let asker = &self.entries[n];
+        let home = asker
+            .seen
+            .homes
+            .home_of(&self.org)
+            .map_or(n, |id| self.numbers[id]);
+        let (side, now) = (asker.side, self.now);
+        let entry = &mut self.entries[home];
+        let believes = entry
+            .seen
+            .homes
+            .home_of(&self.org)
+            .is_none_or(|id| *id == entry.id);
+        if home != n && (!entry.up || entry.side != side || !believes) {
+            return None;
+        }
+        let lost_for = entry.store_lost.map(|since| now.since(since));
+        let share = entry.seen.reach.share(lost_for, now);
+        Some(entry.home.grant(&self.org, limit, share, want, now))
+    }
+
+    /// A request of the organisation at entry `n`.
+    fn request(&mut self, n: usize, limit: RateLimit, serving: usize) {
+        if !self.entries[n].up {
+            return;
+        }
+        if self.entries[n].notices.is_some_and(|at| at <= self.now) {
+            self.notice(n);
+        }
+        let (org, now) = (self.org.clone(), self.now);
+        let take = self.entries[n].allowances.take(&org, limit, serving, now);
+        let take = match take {
+            Take::Ask(want) => {
+                let home = self.entries[n]
+                    .seen
+                    .homes
+                    .home_of(&org)
+                    .map(|id| self.numbers[id]);
+                if let Some(home) = home
+                    && self.entries[home].notices.is_some_and(|at| at <= now)
+                {
+                    self.notice(home);
+                }
+                let answer = self.ask(n, limit, want);
+                let allowances = &mut self.entries[n].allowances;
+                allowances.answered(&org, limit, serving, answer, now, now)
+            }
+            take => take,
+        };
+        match take {
+            Take::Granted(_) => self.ran.push(now),
+            Take::Refused(_) => self.refused += 1,
+            Take::Ask(_) => panic!("it was asked"),
+        }
+    }
+
+    /// Requests at `per_s`, at random times, through the first `serving` entries, for `seconds`.
+    fn load(&mut self, per_s: f64, limit: RateLimit, serving: usize, seconds: f64) {
+        let end = self.now + Duration::from_secs_f64(seconds);
+        while self.now < end {
+            let gap = -self.rng.random::<f64>().max(1e-12).ln() / per_s;
+            self.now = self.now + Duration::from_secs_f64(gap);
+            let n = (self.rng.next_u64() % serving as u64) as usize;
+            self.request(n, limit, serving);
+        }
+    }
+
+    /// The most requests that ran in any window from `from` on.
+    fn most_in_window(&self, from: Time) -> usize {
+        let ran: Vec<Time> = self.ran.iter().copied().filter(|at| *at >= from).collect();
+        let window = Duration::from_secs_f64(MARGINS.window);
+        let mut last = 0;
+        let mut most = 0;
+        for first in 0..ran.len() {
+            while last < ran.len() && ran[last].since(ran[first]) < window {
+                last += 1;
+            }
+            most = most.max(last - first);
+        }
+        most
+    }
+}
+
+fn bound(limit: RateLimit) -> f64 {
+    limit.over(Duration::from_secs_f64(MARGINS.window)) * (1.0 + MARGINS.over) + MARGINS.slack
+}
+
+/// Entries through which the callers of an organisation come, of `count`.
+fn serving(count: usize) -> usize {
+    (count / 10).clamp(6, 60)
+}
+
+/// Guards against a limit that thins out as entries multiply: an organisation that asks two
+/// thirds of its limit, at random times, is refused next to nothing.
+#[rstest]
+fn below_the_limit_next_to_nothing_is_refused(
+    #[values(17, 80, 144, 985, 2900)] count: usize,
+    #[values(2.0, 40.0, 400.0)] rate: f64,
+) {
+    let limit = RateLimit::new(rate, rate).unwrap();
+    let mut world = World::new(count, 1);
+    world.now = Time::ZERO + Duration::from_secs(14);
+    world.load(rate / 1.6, limit, serving(count), 4000.0 / rate);
+    assert!(
+        world.refused as f64 <= 0.001 * world.ran.len() as f64,
+        "{} of {}",
+        world.refused,
+        world.ran.len()
+    );
+    assert!(world.most_in_window(Time::ZERO) as f64 <= bound(limit));
+    assert!(world.asks <= world.ran.len() + world.refused);
+}
+
+/// Guards against a sum above the limit, and against much less, when ten times as much is asked,
+/// through one entry or many.
+#[rstest]
+fn far_above_the_limit_the_limit_runs(
+    #[values(17, 80, 144, 985, 2900)] count: usize,
+    #[values(1, 0)] through: usize,
+) {
+    let limit = RateLimit::new(40.0, 40.0).unwrap();
+    let mut world = World::new(count, 2);
+    world.now = Time::ZERO + Duration::from_secs(14);
+    let through = if through == 0 {
+        serving(count)
+    } else {
+        through
+    };
+    world.load(400.0, limit, through, 40.0);
+    assert!(world.most_in_window(Time::ZERO) as f64 <= bound(limit));
+    let due = limit.over(Duration::from_secs(40));
+    assert!(
+        world.ran.len() as f64 >= 0.9 * due,
+        "{} of {due}",
+        world.ran.len()
+    );
+}
+
+/// Guards against a sum above the limit while entries end and start and see each other
+/// differently: the home ends, and its heir; all end and start again, twice within a window.
+#[rstest]
+fn the_sum_holds_while_entries_end(
+    #[values(17, 80, 144, 985, 2900)] count: usize,
+    #[values(3, 4, 5, 6)] seed: u64,
+    #[values(2.0, 40.0, 100.0)] rate: f64,
+) {
+    let limit = RateLimit::new(rate, rate).unwrap();
+    let mut world = World::new(count, seed);
+    world.now = Time::ZERO + Duration::from_secs(14);
+    let through = serving(count);
+    world.load(10.0 * rate, limit, through, 6.0);
+    for _ in 0..2 {
+        let home = world.home();
+        world.end(home);
+        world.load(10.0 * rate, limit, through, 3.0);
+    }
+    for _ in 0..2 {
+        for n in 0..count {
+            world.restart(n);
+        }
+        world.changed();
+        world.load(10.0 * rate, limit, through, 2.0);
+    }
+    world.load(10.0 * rate, limit, through, 10.0);
+    let most = world.most_in_window(Time::ZERO);
+    assert!(most as f64 <= bound(limit), "{most} of {}", bound(limit));
+    let served = world
+        .ran
+        .iter()
+        .filter(|at| **at + Duration::from_secs(8) >= world.now)
+        .count();
+    assert!(served as f64 >= 0.9 * rate * 8.0, "{served}");
+}
+
+/// Guards against two sides of a partition that both grant the whole limit, whether or not they
+/// have noticed that they are apart.
+#[rstest]
+fn the_sum_holds_while_some_are_cut_off(
+    #[values(17, 80, 144, 985)] count: usize,
+    #[values(0.05, 0.3, 0.5)] part: f64,
+    #[values(7, 8)] seed: u64,
+) {
+    let limit = RateLimit::new(40.0, 40.0).unwrap();
+    let mut world = World::new(count, seed);
+    world.now = Time::ZERO + Duration::from_secs(14);
+    let through = serving(count);
+    world.load(400.0, limit, through, 6.0);
+    for n in 0..count {
+        // Every entry that takes callers may be on either side.
+        let cut = ((n * 7919 + seed as usize) % count) as f64 <= part * count as f64;
+        world.entries[n].side = usize::from(cut);
+        world.entries[n].store_lost = cut.then_some(world.now);
+    }
+    world.changed();
+    world.load(400.0, limit, through, 12.0);
+    for entry in &mut world.entries {
+        entry.side = 0;
+        entry.store_lost = None;
+    }
+    world.changed();
+    world.load(400.0, limit, through, 12.0);
+    let most = world.most_in_window(Time::ZERO);
+    assert!(most as f64 <= bound(limit), "{most} of {}", bound(limit));
+}
+
+/// Guards against a limit that was lowered under load and is not kept a window later.
+#[rstest]
+fn a_lowered_limit_holds_a_window_later(#[values(17, 144, 2900)] count: usize) {
+    let (before, after) = (
+        RateLimit::new(100.0, 100.0).unwrap(),
+        RateLimit::new(20.0, 20.0).unwrap(),
+    );
+    let mut world = World::new(count, 9);
+    world.now = Time::ZERO + Duration::from_secs(14);
+    let through = serving(count);
+    world.load(1000.0, before, through, 8.0);
+    let lowered = world.now;
+    world.load(1000.0, after, through, 20.0);
+    let settled = lowered + Duration::from_secs_f64(MARGINS.window);
+    let most = world.most_in_window(settled);
+    assert!(most as f64 <= bound(after), "{most}");
+}
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -12,7 +12,7 @@
 use chestnut_flow::lock;
 use chestnut_port::{Forward, LeafCall, LeafFailure, LeafReply, Listening};
 use chestnut_route::Refusal;
-use chestnut_unit::LeafId;
+use chestnut_unit::{LeafId, OrgName};
 use futures::{FutureExt, future::BoxFuture};
 use hyper::{Response, header::HeaderValue};
 use tokio::{
@@ -50,6 +50,8 @@
     pub request: String,
     /// Path and query of the request.
     pub path: String,
+    /// The organisation that leafs are told.
+    pub organisation: Option<OrgName>,
     /// When it arrived.
     pub at: Instant,
     /// Time left for the answer.
@@ -214,6 +216,7 @@
                     address: call.address,
                     request: call.request.id.clone(),
                     path: call.request.path.to_string(),
+                    organisation: call.request.organisation.clone(),
                     at: Instant::now(),
                     timeout: call.timeout,
                     max_connections: call.max_connections,
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -21,8 +21,8 @@
 use chestnut_flow::{Runtime, TraceLevel, lock};
 use chestnut_port::{Clock, ForwardedRequest};
 use chestnut_relay::{
-    LeafRegistration, LeafState, PeerFeeds, Phase, Relay, RelayPorts, RelayRequest, RelaySettings,
-    Reply,
+    Credential, LeafRegistration, LeafState, PeerFeeds, Phase, Relay, RelayPorts, RelayRequest,
+    RelaySettings, Reply,
 };
 use chestnut_unit::{LeafId, ServiceName, Share};
 use futures::FutureExt;
@@ -56,6 +56,8 @@
     pub domains: u16,
     /// Numbers of the entries that others contact at their start.
     pub seeds: Vec<u16>,
+    /// Further lines of the settings.
+    pub settings: &'static str,
 }
 
 impl Cluster {
@@ -73,7 +75,8 @@
              [listen]\ncallers = \"{ip}:1\"\nreadiness = \"{ip}:2\"\n\
              directory = \"{ip}:3\"\npeers = \"{ip}:4\"\nmetrics = \"{ip}:5\"\n\
              [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\nwindow = \"10s\"\n\
-             [cold]\nover = 1.5\nslack = 5\n[times]\ngrace = \"6s\"\ndrain = \"3s\"\n"
+             [cold]\nover = 1.5\nslack = 5\n[limits]\nwindow = 5\nover = 0.1\nslack = 20\n[times]\ngrace = \"6s\"\ndrain = \"3s\"\n{}",
+            self.settings
         );
         let settings = RelaySettings::parse(&text, Path::new("entry.toml")).unwrap();
         let probes = self.net.join(settings.listen.peers);
@@ -219,6 +222,7 @@
 /// Returns a request for `path` with two seconds left.
 pub fn request(id: &str, path: &'static str) -> RelayRequest {
     let message = ForwardedRequest {
+        organisation: None,
         id: id.to_owned(),
         method: Method::GET,
         path: PathAndQuery::from_static(path),
@@ -226,6 +230,7 @@
         body: Bytes::new(),
     };
     RelayRequest {
+        credential: Credential::Unread,
         host: HOST.to_owned(),
         message: Arc::new(message),
         remaining: Some(Duration::from_secs(2)),
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -15,7 +15,8 @@
     Item, ProbeTransport,
 };
 use chestnut_relay::{HeldEvacuation, PeerFeeds};
-use chestnut_unit::{DomainName, Epoch, Revision};
+use chestnut_route::Grant;
+use chestnut_unit::{DomainName, Epoch, OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
 use tokio::{
@@ -327,6 +328,20 @@
         let feed = if known { "held evacuations" } else { "unknown" };
         Arc::new(FakePeerFeed(self.clone(), to, feed))
     }
+
+    fn tokens<'a>(
+        &'a self,
+        to: SocketAddr,
+        org: &'a OrgName,
+        want: u32,
+    ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>> {
+        async move {
+            let grant = self.service(to).await?.tokens(org, want);
+            self.transfer(to, ANSWER_OVERHEAD).await?;
+            Ok(grant)
+        }
+        .boxed()
+    }
 }
 
 impl FakeFeeds {
