--- a/crates/port/schema/feed.capnp
+++ b/crates/port/schema/feed.capnp
@@ -43,6 +43,7 @@
   # if the callee has nothing newer.
   book @3 (have :UInt64) -> (version :UInt64, delta :Data);
   # Asks the callee, as the home of an organisation, for tokens under its limit, each of which
-  # lets one request run; after a refusal, the time until the next one.
-  tokens @4 (organisation :Text, want :UInt32) -> (isHome :Bool, granted :UInt32, afterMs :UInt32);
+  # lets one request run; after a refusal, the time until the next one. `used` is the number of
+  # requests that the caller admitted without the callee since it last asked.
+  tokens @4 (organisation :Text, want :UInt32, used :UInt32) -> (isHome :Bool, granted :UInt32, afterMs :UInt32);
 }
--- a/crates/port/src/feed_capnp.rs
+++ b/crates/port/src/feed_capnp.rs
@@ -3046,6 +3046,10 @@
             pub fn get_want(self) -> u32 {
                 self.reader.get_data_field::<u32>(0)
             }
+            #[inline]
+            pub fn get_used(self) -> u32 {
+                self.reader.get_data_field::<u32>(1)
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3124,6 +3128,14 @@
             pub fn set_want(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(0, value);
             }
+            #[inline]
+            pub fn get_used(self) -> u32 {
+                self.builder.get_data_field::<u32>(1)
+            }
+            #[inline]
+            pub fn set_used(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(1, value);
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3135,7 +3147,7 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(224, 199, 90, 33, 181, 156, 172, 131),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 1, 0),
@@ -3145,28 +3157,35 @@
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 101, 101, 100, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 70, 101, 101, 100, 115),
                 ::capnp::word(46, 116, 111, 107, 101, 110, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 106, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 106, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(49, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(111, 114, 103, 97, 110, 105, 115, 97),
                 ::capnp::word(116, 105, 111, 110, 0, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -3184,11 +3203,20 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(117, 115, 101, 100, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3202,9 +3230,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
             pub(crate) const TYPE_ID: u64 = 0x83ac_9cb5_215a_c7e0;
         }
     }
--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
-use chestnut_route::Grant;
+use chestnut_route::{Ask, Grant};
 use chestnut_unit::{OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
@@ -84,7 +84,7 @@
 
     /// Returns the tokens that this entry grants as the home of an organisation; `None` if it
     /// is not its home.
-    fn tokens(&self, org: &OrgName, want: u32) -> Option<Grant>;
+    fn tokens(&self, org: &OrgName, ask: Ask) -> Option<Grant>;
 }
 
 /// Server and client of the feed protocol. Dropping the last clone ends its thread.
@@ -213,14 +213,15 @@
         &self,
         to: SocketAddr,
         org: &OrgName,
-        want: u32,
+        ask: Ask,
     ) -> Result<Option<Grant>, FeedError> {
         let org = org.clone();
         let call = move |client: feeds::Client| async move {
             let mut request = client.tokens_request();
             let mut params = request.get();
             params.set_organisation(org.as_str());
-            params.set_want(want);
+            params.set_want(ask.want);
+            params.set_used(ask.used);
             let answer = request.send().promise.await?;
             let answer = answer.get()?;
             let grant = Grant {
--- a/crates/port/src/feed_serve.rs
+++ b/crates/port/src/feed_serve.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
+use chestnut_route::Ask;
 use chestnut_unit::{NameError, Revision, lock};
 use tokio::runtime::Handle;
 use tokio_util::task::AbortOnDropHandle;
@@ -139,7 +140,11 @@
         let org = params.get_organisation()?.to_str()?.parse();
         let org = org.map_err(|error: NameError| Error::failed(error.to_string()))?;
         let mut results = results.get();
-        if let Some(grant) = self.service.tokens(&org, params.get_want()) {
+        let ask = Ask {
+            want: params.get_want(),
+            used: params.get_used(),
+        };
+        if let Some(grant) = self.service.tokens(&org, ask) {
             results.set_is_home(true);
             results.set_granted(grant.tokens);
             results.set_after_ms(u32::try_from(grant.after.as_millis()).unwrap_or(u32::MAX));
--- a/crates/relay/src/feed_server.rs
+++ b/crates/relay/src/feed_server.rs
@@ -10,7 +10,7 @@
 use chestnut_book::BookVersion;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, EncodedBatch, EncodedDelta, FeedError, FeedService, Item};
-use chestnut_route::Grant;
+use chestnut_route::{Ask, Grant};
 use chestnut_unit::{DomainName, LeafId, OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
@@ -186,8 +186,8 @@
         .boxed()
     }
 
-    fn tokens(&self, org: &OrgName, want: u32) -> Option<Grant> {
-        limits::grant_to_peer(&self.0, org, want)
+    fn tokens(&self, org: &OrgName, ask: Ask) -> Option<Grant> {
+        limits::grant_to_peer(&self.0, org, ask)
     }
 }
 
--- a/crates/relay/src/feeds.rs
+++ b/crates/relay/src/feeds.rs
@@ -4,7 +4,7 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_port::{EncodedDelta, Feed, FeedError, FeedRpc, Heartbeat};
-use chestnut_route::Grant;
+use chestnut_route::{Ask, Grant};
 use chestnut_unit::{DomainName, LeafId, OrgName};
 use futures::{FutureExt, future::BoxFuture};
 
@@ -43,13 +43,13 @@
     /// store lacks them. It can't be watched.
     fn held(&self, to: SocketAddr) -> Arc<dyn Feed<HeldEvacuation>>;
 
-    /// Asks the entry at `to` for up to `want` tokens under the limit of an organisation;
+    /// Asks the entry at `to` for tokens under the limit of an organisation;
     /// `None` if it is not its home.
     fn tokens<'a>(
         &'a self,
         to: SocketAddr,
         org: &'a OrgName,
-        want: u32,
+        ask: Ask,
     ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>>;
 }
 
@@ -82,9 +82,9 @@
         &'a self,
         to: SocketAddr,
         org: &'a OrgName,
-        want: u32,
+        ask: Ask,
     ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>> {
-        Self::tokens(self, to, org, want).boxed()
+        Self::tokens(self, to, org, ask).boxed()
     }
 }
 
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -9,8 +9,8 @@
 use chestnut_book::Organisation;
 use chestnut_fleet::{Homes, Reach};
 use chestnut_flow::lock;
-use chestnut_route::{Allowances, Grant, OrgUse, RateHome, RateMargins, Take, Token};
-use chestnut_unit::{MemberId, OrgName, RateLimit, Time};
+use chestnut_route::{Allowances, Ask, Grant, OrgUse, RateHome, RateMargins, Take, Token};
+use chestnut_unit::{MemberId, OrgName, RateLimit, Time, WallTime};
 use slog::debug;
 use tokio::time::timeout;
 
@@ -30,6 +30,8 @@
     allowances: Allowances,
     home: RateHome,
     homes: Homes,
+    /// Number of members that were homes when that was last looked at.
+    joined: usize,
     peers: BTreeMap<MemberId, SocketAddr>,
     reach: Reach,
 }
@@ -59,6 +61,7 @@
             allowances: Allowances::new(margins),
             home: RateHome::new(margins, Time::ZERO),
             homes: Homes::default(),
+            joined: 0,
             peers: BTreeMap::new(),
             reach: Reach::starting(expected, Time::ZERO),
         };
@@ -75,7 +78,7 @@
     }
 
     /// Updates the members. Organisations whose home has changed get a new bucket there.
-    pub(crate) fn update(&self, view: HomeView, own: &MemberId, now: Time) {
+    pub(crate) fn update(&self, view: HomeView, own: &MemberId, now: Time, wall: WallTime) {
         let mut state = lock(&self.state);
         let state = &mut *state;
         state.peers = view.peers;
@@ -83,9 +86,7 @@
         state.reach.update(members, now);
         if state.homes != view.homes {
             state.homes = view.homes;
-            let homes = &state.homes;
-            let is_home = |org: &OrgName| homes.home_of(org) == Some(own);
-            state.home.members_changed(is_home, now);
+            state.homes_changed(own, now, wall);
         }
     }
 
@@ -112,9 +113,18 @@
 }
 
 impl LimitState {
+    /// Drops the buckets of organisations that have got another home; those of which this entry
+    /// has become the home start anew.
+    fn homes_changed(&mut self, own: &MemberId, now: Time, wall: WallTime) {
+        let homes = &self.homes;
+        let is_home = |org: &OrgName| homes.home_of(org, wall) == Some(own);
+        self.home.members_changed(is_home, now);
+        self.joined = homes.joined(wall);
+    }
+
     /// Returns the home of an organisation; this entry if it knows no member.
-    fn home_of(&self, org: &OrgName, own: &MemberId) -> Home {
-        match self.homes.home_of(org) {
+    fn home_of(&self, org: &OrgName, own: &MemberId, wall: WallTime) -> Home {
+        match self.homes.home_of(org, wall) {
             Some(id) if id != own => self.peers.get(id).map_or(Home::Own, |to| Home::Peer(*to)),
             _ => Home::Own,
         }
@@ -164,8 +174,8 @@
         .allowances
         .take(org, limit, entries, now);
     let take = match take {
-        Take::Ask(want) => {
-            let answer = ask(shared, peers, org, limit, want).await;
+        Take::Ask(ask) => {
+            let answer = ask_home(shared, peers, org, limit, ask).await;
             let mut state = lock(&shared.limits.state);
             let allowances = &mut state.allowances;
             allowances.answered(org, limit, entries, answer, now, shared.now())
@@ -185,20 +195,20 @@
 }
 
 /// Asks the home of an organisation for tokens; `None` without an answer in time.
-async fn ask(
+async fn ask_home(
     shared: &Shared,
     peers: &dyn PeerFeeds,
     org: &OrgName,
     limit: RateLimit,
-    want: u32,
+    ask: Ask,
 ) -> Option<Grant> {
     let own = &shared.settings.entry.member;
-    let home = lock(&shared.limits.state).home_of(org, own);
+    let home = lock(&shared.limits.state).home_of(org, own, shared.runtime.clock.wall());
     let to = match home {
-        Home::Own => return Some(grant(shared, org, limit, want)),
+        Home::Own => return Some(grant(shared, org, limit, ask)),
         Home::Peer(to) => to,
     };
-    let answer = timeout(ASK_TIMEOUT, peers.tokens(to, org, want)).await;
+    let answer = timeout(ASK_TIMEOUT, peers.tokens(to, org, ask)).await;
     let grant = answer.ok().and_then(Result::ok).flatten();
     if grant.is_none() {
         debug!(shared.runtime.log, "limit: no answer of the home of {org}"; "home" => %to);
@@ -208,21 +218,25 @@
 
 /// Grants tokens to a peer that takes this entry for the home of an organisation; `None` if it
 /// is not, or knows no such limit.
-pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, want: u32) -> Option<Grant> {
+pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, ask: Ask) -> Option<Grant> {
     let own = &shared.settings.entry.member;
-    if lock(&shared.limits.state).home_of(org, own) != Home::Own {
+    if lock(&shared.limits.state).home_of(org, own, shared.runtime.clock.wall()) != Home::Own {
         return None;
     }
     let book = lock(&shared.cell.state).extra.book.clone()?;
     let limit = book.organisations()?.get(org)?.limit?;
-    Some(grant(shared, org, limit, want))
+    Some(grant(shared, org, limit, ask))
 }
 
 /// Grants tokens as the home of an organisation.
-fn grant(shared: &Shared, org: &OrgName, limit: RateLimit, want: u32) -> Grant {
+fn grant(shared: &Shared, org: &OrgName, limit: RateLimit, ask: Ask) -> Grant {
     let now = shared.now();
     let store_lost = shared.store_status.borrow().lost_for(now);
     let mut state = lock(&shared.limits.state);
+    let wall = shared.runtime.clock.wall();
+    if state.homes.joined(wall) != state.joined {
+        state.homes_changed(&shared.settings.entry.member, now, wall);
+    }
     let share = state.reach.share(store_lost, now);
-    state.home.grant(org, limit, share, want, now)
+    state.home.grant(org, limit, share, ask, now)
 }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -20,7 +20,7 @@
 };
 use chestnut_flow::lock;
 use chestnut_port::ProbeTransport;
-use chestnut_unit::{DomainName, Incarnation, MemberId, Time};
+use chestnut_unit::{DomainName, Incarnation, MemberId, Time, WallTime};
 use rand::Rng;
 use slog::info;
 use tokio::time::sleep_until;
@@ -177,7 +177,9 @@
         let swim = lock(&self.swim);
         let alive = |member: &Member| member.liveness == Liveness::Alive && is_started(&member);
         let working = || swim.view.accepting_work().filter(|member| alive(member));
-        let homes = Homes::new(working().map(|member| (&member.id, member.weight)));
+        let started = |member: &Member| WallTime(member.incarnation.0);
+        let homes =
+            Homes::new(working().map(|member| (&member.id, member.weight, started(member))));
         let peers = working().map(|member| (member.id.clone(), member.addresses.peers));
         let members = swim.view.all().filter(|member| !member.leaving);
         let members = members.map(|member| (member.id.clone(), alive(member)));
@@ -514,5 +516,7 @@
     shared.traffic.set_local(members.local_peers(shared));
     shared.set_quota(members.quota(shared));
     let (view, own) = (members.home_view(), &shared.settings.entry.member);
-    shared.limits.update(view, own, shared.now());
+    shared
+        .limits
+        .update(view, own, shared.now(), shared.runtime.clock.wall());
 }
--- a/crates/route/src/rate/allowance.rs
+++ b/crates/route/src/rate/allowance.rs
@@ -5,7 +5,7 @@
 
 use chestnut_unit::{OrgName, RateLimit, Time};
 
-use super::{DETACHED_SHARE, Grant, RateMargins, TERM_SHARE, bucket::Bucket};
+use super::{Ask, DETACHED_SHARE, Grant, RateMargins, TERM_SHARE, bucket::Bucket};
 
 /// How long the home is not asked again after it gave no answer.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
@@ -15,6 +15,9 @@
 const MAX_ANSWER: Duration = Duration::from_millis(100);
 /// Share of a token's term for which tokens are asked ahead of need, by the recent rate.
 const AHEAD_SHARE: f64 = 0.5;
+/// Seconds of its own part that an entry has at once when it loses the home, for requests that
+/// come together.
+const START_SPAN: f64 = 0.1;
 /// Most tokens asked for at once.
 const MAX_ASK: f64 = 256.0;
 /// Allowances above which idle ones are dropped before one is added.
@@ -34,8 +37,8 @@
     Granted(Token),
     /// It is over the limit; the caller may come back after this time.
     Refused(Duration),
-    /// The home has to be asked for so many tokens.
-    Ask(u32),
+    /// The home has to be asked.
+    Ask(Ask),
 }
 
 /// Requests of one organisation at one entry.
@@ -68,8 +71,10 @@
     /// Whether the home gave no answer, and until when it is not asked again.
     is_detached: bool,
     detached_until: Time,
-    /// The entry's own part, since it first lost the home.
+    /// The entry's own part, since it first lost the home, and the requests admitted of it that
+    /// the home has not been told.
     own: Option<Bucket>,
+    untold: u32,
     usage: OrgUse,
 }
 
@@ -158,7 +163,10 @@
         };
         match (token.expires, &mut allowance.own) {
             (Some(expires), _) => allowance.receive(1, expires, now),
-            (None, Some(own)) => own.put_back(),
+            (None, Some(own)) => {
+                own.put_back();
+                allowance.untold = allowance.untold.saturating_sub(1);
+            }
             (None, None) => {}
         }
     }
@@ -195,6 +203,7 @@
             is_detached: false,
             detached_until: now,
             own: None,
+            untold: 0,
             usage: OrgUse::default(),
         }
     }
@@ -243,8 +252,11 @@
             false => (self.demand * margins.term().as_secs_f64() * AHEAD_SHARE).min(MAX_ASK),
         };
         self.asking_until = now + MAX_ANSWER;
+        // Told once only: a home that gives no answer is rather slow than gone, and has counted them.
+        let used = std::mem::take(&mut self.untold);
         // The cast saturates.
-        Take::Ask(1 + ahead as u32)
+        let want = 1 + ahead as u32;
+        Take::Ask(Ask { want, used })
     }
 
     /// Refuses a request as the home refused the last one.
@@ -263,15 +275,17 @@
         now: Time,
     ) -> Take {
         let entries = entries.max(1) as f64;
-        let start = margins.slack * DETACHED_SHARE / entries;
         let share = self.part.min(1.0) + margins.over * (1.0 - TERM_SHARE) / entries;
         let rate = (limit.rate * share).max(f64::MIN_POSITIVE);
+        let slack = margins.slack * DETACHED_SHARE / entries;
+        let start = slack + rate * START_SPAN;
         let own = self.own.get_or_insert(Bucket::new(start, now));
         let fill = if self.is_detached { rate } else { 0.0 };
         own.fill(fill, 1.0 + start, now);
         self.is_detached = true;
         if own.take(1) == 1 {
             self.usage.detached += 1;
+            self.untold = self.untold.saturating_add(1);
             return Take::Granted(Token { expires: None });
         }
         self.usage.refused += 1;
--- a/crates/route/src/rate/bucket.rs
+++ b/crates/route/src/rate/bucket.rs
@@ -33,6 +33,11 @@
         taken
     }
 
+    /// Takes `count` tokens that were used already, at most down to a debt of `most`.
+    pub(crate) fn charge(&mut self, count: u32, most: f64) {
+        self.tokens = (self.tokens - f64::from(count)).max(self.tokens.min(-most));
+    }
+
     /// Returns a token that was not used.
     pub(crate) fn put_back(&mut self) {
         self.tokens += 1.0;
--- a/crates/route/src/rate/home.rs
+++ b/crates/route/src/rate/home.rs
@@ -6,6 +6,15 @@
 
 use super::{BURST_SHARE, RateMargins, START_SHARE, bucket::Bucket};
 
+/// A request for tokens to an organisation's home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Tokens wanted.
+    pub want: u32,
+    /// Requests that the entry admitted without the home since it last asked.
+    pub used: u32,
+}
+
 /// Answer of an organisation's home to a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -61,14 +70,16 @@
         self.since = now;
     }
 
-    /// Grants up to `want` tokens of an organisation with `limit`. `share` is the part of the
+    /// Grants up to the tokens wanted of an organisation with `limit`, after those that were used
+    /// without this entry: if it is slow, entries believe it lost, and their requests and those
+    /// that it grants would together exceed the limit. `share` is the part of the
     /// rate that this entry may grant, below 1 while others may believe to be the home too.
     pub fn grant(
         &mut self,
         org: &OrgName,
         limit: RateLimit,
         share: f64,
-        want: u32,
+        ask: Ask,
         now: Time,
     ) -> Grant {
         let rate = limit.rate * share.clamp(f64::EPSILON, 1.0);
@@ -79,7 +90,9 @@
         }
         let entry = self.buckets.get_mut(org).expect("it was added");
         entry.bucket.fill(rate, capacity, now);
-        let tokens = entry.bucket.take(want);
+        let most = limit.over(Duration::from_secs_f64(self.margins.window));
+        entry.bucket.charge(ask.used, most);
+        let tokens = entry.bucket.take(ask.want);
         let after = match tokens {
             0 => entry.delay(rate, now),
             _ => Duration::ZERO,
--- a/crates/route/src/rate/mod.rs
+++ b/crates/route/src/rate/mod.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 
 pub use allowance::{Allowances, OrgUse, Take, Token};
-pub use home::{Grant, RateHome};
+pub use home::{Ask, Grant, RateHome};
 
 /// By how much all entries together may exceed a limit in any window.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
@@ -43,9 +43,9 @@
 /// can't reach the home.
 const TERM_SHARE: f64 = 0.5;
 /// Share of `slack` that a bucket holds beyond the burst.
-const BURST_SHARE: f64 = 0.25;
+const BURST_SHARE: f64 = 0.5;
 /// Share of `slack` that a bucket holds at its start, when an organisation changes its home.
-const START_SHARE: f64 = 0.125;
+const START_SHARE: f64 = 0.0625;
 /// Share of `slack` for all entries that can't reach the home.
 const DETACHED_SHARE: f64 = 0.25;
 
