Limits: look at the members only where there is a limit, five times a second at most

The view of the members was built anew with each probe and each change, at every entry and also without organisations: some 985 copies and a sort a probe at the fleet's size. It is built where the book has a limit, at most each 200 ms.

--- a/crates/book/src/organisation.rs
+++ b/crates/book/src/organisation.rs
@@ -133,6 +133,12 @@
         self.by_name.values()
     }
 
+    /// Whether an organisation has a limit.
+    #[must_use]
+    pub fn any_limit(&self) -> bool {
+        self.by_name.values().any(|org| org.limit.is_some())
+    }
+
     /// Number of keys of all organisations.
     #[must_use]
     pub fn keys(&self) -> usize {
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -20,6 +20,10 @@
 /// compared with the latency objective of an urgent request.
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Least time between two looks at the members; short beside the time in which they notice the
+/// end of one.
+const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// The tokens that this entry holds, those that it grants as a home, and which entry is the
 /// home of each organisation.
 pub(crate) struct OrgLimits {
@@ -34,6 +38,10 @@
     joined: usize,
     peers: BTreeMap<MemberId, SocketAddr>,
     reach: Reach,
+    /// Whether an organisation of the book has a limit; without one nothing is updated.
+    any_limit: bool,
+    /// When the members are looked at again.
+    next_update: Time,
 }
 
 /// The entry that grants the tokens of an organisation.
@@ -64,6 +72,8 @@
             joined: 0,
             peers: BTreeMap::new(),
             reach: Reach::starting(expected, Time::ZERO),
+            any_limit: false,
+            next_update: Time::ZERO,
         };
         Self {
             state: Mutex::new(state),
@@ -77,10 +87,22 @@
         state.home.set_margins(margins);
     }
 
+    /// Records whether an organisation of the book in force has a limit.
+    pub(crate) fn set_any_limit(&self, any_limit: bool) {
+        lock(&self.state).any_limit = any_limit;
+    }
+
+    /// Returns whether the members are to be looked at: the cost grows with their number.
+    pub(crate) fn is_update_due(&self, now: Time) -> bool {
+        let state = lock(&self.state);
+        state.any_limit && now >= state.next_update
+    }
+
     /// Updates the members. Organisations whose home has changed get a new bucket there.
     pub(crate) fn update(&self, view: HomeView, own: &MemberId, now: Time, wall: WallTime) {
         let mut state = lock(&self.state);
         let state = &mut *state;
+        state.next_update = now + UPDATE_INTERVAL;
         state.peers = view.peers;
         let members = view.members.iter().map(|(id, alive)| (id, *alive));
         state.reach.update(members, now);
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -515,8 +515,9 @@
     shared.metrics.members.set(members.count() as i64);
     shared.traffic.set_local(members.local_peers(shared));
     shared.set_quota(members.quota(shared));
-    let (view, own) = (members.home_view(), &shared.settings.entry.member);
-    shared
-        .limits
-        .update(view, own, shared.now(), shared.runtime.clock.wall());
+    if shared.limits.is_update_due(shared.now()) {
+        let (view, own) = (members.home_view(), &shared.settings.entry.member);
+        let wall = shared.runtime.clock.wall();
+        shared.limits.update(view, own, shared.now(), wall);
+    }
 }
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -219,6 +219,8 @@
         }
         retain_rules(&mut state.extra, &book);
         let rules = book.rules().count();
+        let any_limit = book.organisations().is_some_and(|orgs| orgs.any_limit());
+        self.limits.set_any_limit(any_limit);
         let book = Arc::new(book);
         state.extra.book = Some(book.clone());
         state.extra.leaf_domains = None;
