Limits: one home for all at a start of all; entries name the home that they believe in

For three seconds 32 entries together admitted 152 a second of 67.

Cause, from a copy that logged each grant: it takes entries some three seconds to know the same members. Each of the strong ones knew one member at first, itself, and granted a third of the limit; weak ones knew 14 to 25 homes, none of them the strong ones, and granted all of it. That a start counts the seeds as known, and a part for the members that are absent, was not enough.

While no member has run for three seconds the first seed that runs is now the home of all organisations: all have the same seeds. An entry that is asked and is not the home names the one that it believes in, which is asked next, so that one who knows few members finds the home through one who knows more.

--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -5,8 +5,6 @@
 
 use chestnut_unit::{MemberId, Time};
 
-/// Time after its start in which an entry may not have heard of all others.
-const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Time after which a smaller part without the store grants nothing. It is shorter than
 /// [`ABSENT_TIME`], with room for the time in which each part notices.
 const YIELD_TIME: Duration = Duration::from_secs(2);
@@ -26,24 +24,9 @@
     alive: usize,
     /// Since when each absent member is known to be so.
     absent: BTreeMap<MemberId, Time>,
-    /// Members that there are at least, and until when few of them may have been heard of.
-    expected: usize,
-    settled_at: Time,
 }
 
 impl Reach {
-    /// Creates the view of an entry that starts at `now` and knows only itself; there are
-    /// `expected` members at least.
-    #[must_use]
-    pub fn starting(expected: usize, now: Time) -> Self {
-        Self {
-            alive: 1,
-            absent: BTreeMap::new(),
-            expected,
-            settled_at: now + SETTLE_TIME,
-        }
-    }
-
     /// Updates the view to all members, this one included, and whether each is alive.
     pub fn update<'a>(&mut self, members: impl Iterator<Item = (&'a MemberId, bool)>, now: Time) {
         let mut absent = BTreeMap::new();
@@ -80,10 +63,6 @@
             .values()
             .filter(|since| now.since(**since) < span);
         let known = self.alive + absent.count();
-        let known = match now < self.settled_at {
-            true => known.max(self.expected),
-            false => known,
-        };
         self.alive as f64 / known.max(1) as f64
     }
 }
--- a/crates/port/schema/feed.capnp
+++ b/crates/port/schema/feed.capnp
@@ -45,5 +45,7 @@
   # Asks the callee, as the home of an organisation, for tokens under its limit, each of which
   # lets one request run; after a refusal, the time until the next one. `used` is the number of
   # requests that the caller admitted without the callee since it last asked.
-  tokens @4 (organisation :Text, want :UInt32, used :UInt32) -> (isHome :Bool, granted :UInt32, afterMs :UInt32);
+  tokens @4 (organisation :Text, want :UInt32, used :UInt32) -> (isHome :Bool, granted :UInt32, afterMs :UInt32,
+    # Address of the home that the callee believes in, if that is another.
+    elsewhere :Text);
 }
--- a/crates/port/src/feed_capnp.rs
+++ b/crates/port/src/feed_capnp.rs
@@ -3290,7 +3290,7 @@
             }
         }
 
-        impl <> Reader<'_,>  {
+        impl <'a,> Reader<'a,>  {
             pub fn reborrow(&self) -> Reader<'_,> {
                 Self { .. *self }
             }
@@ -3310,11 +3310,19 @@
             pub fn get_after_ms(self) -> u32 {
                 self.reader.get_data_field::<u32>(2)
             }
+            #[inline]
+            pub fn get_elsewhere(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_elsewhere(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3388,6 +3396,22 @@
             pub fn set_after_ms(&mut self, value: u32)  {
                 self.builder.set_data_field::<u32>(2, value);
             }
+            #[inline]
+            pub fn get_elsewhere(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_elsewhere(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_elsewhere(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_elsewhere(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3399,45 +3423,52 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 62] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(83, 97, 84, 203, 194, 199, 140, 177),
                 ::capnp::word(17, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(102, 101, 101, 100, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 70, 101, 101, 100, 115),
                 ::capnp::word(46, 116, 111, 107, 101, 110, 115, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(105, 115, 72, 111, 109, 101, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3462,12 +3493,22 @@
                 ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 108, 115, 101, 119, 104, 101, 114),
+                ::capnp::word(101, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                     2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3481,9 +3522,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,1,0];
             pub(crate) const TYPE_ID: u64 = 0xb18c_c7c2_cb54_6153;
         }
     }
--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
-use chestnut_route::{Ask, Grant};
+use chestnut_route::{Ask, Grant, TokenReply};
 use chestnut_unit::{OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::de::DeserializeOwned;
@@ -82,9 +82,9 @@
         wait: Duration,
     ) -> BoxFuture<'static, Result<EncodedBatch, FeedError>>;
 
-    /// Returns the tokens that this entry grants as the home of an organisation; `None` if it
-    /// is not its home.
-    fn tokens(&self, org: &OrgName, ask: Ask) -> Option<Grant>;
+    /// Returns the tokens that this entry grants as the home of an organisation, or which entry
+    /// it takes for the home.
+    fn tokens(&self, org: &OrgName, ask: Ask) -> TokenReply;
 }
 
 /// Server and client of the feed protocol. Dropping the last clone ends its thread.
@@ -203,8 +203,7 @@
 }
 
 impl FeedRpc {
-    /// Asks the entry at `to` for tokens under the limit of an organisation; `None` if it is
-    /// not its home.
+    /// Asks the entry at `to` for tokens under the limit of an organisation.
     ///
     /// # Errors
     ///
@@ -214,7 +213,7 @@
         to: SocketAddr,
         org: &OrgName,
         ask: Ask,
-    ) -> Result<Option<Grant>, FeedError> {
+    ) -> Result<TokenReply, FeedError> {
         let org = org.clone();
         let call = move |client: feeds::Client| async move {
             let mut request = client.tokens_request();
@@ -224,11 +223,14 @@
             params.set_used(ask.used);
             let answer = request.send().promise.await?;
             let answer = answer.get()?;
-            let grant = Grant {
-                tokens: answer.get_granted(),
-                after: Duration::from_millis(u64::from(answer.get_after_ms())),
-            };
-            Ok(answer.get_is_home().then_some(grant))
+            if answer.get_is_home() {
+                return Ok(TokenReply::Granted(Grant {
+                    tokens: answer.get_granted(),
+                    after: Duration::from_millis(u64::from(answer.get_after_ms())),
+                }));
+            }
+            let elsewhere = answer.get_elsewhere()?.to_str()?.parse();
+            Ok(elsewhere.map_or(TokenReply::Unknown, TokenReply::Elsewhere))
         };
         let granted = self
             .endpoint
--- a/crates/port/src/feed_serve.rs
+++ b/crates/port/src/feed_serve.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use capnp::Error;
 use chestnut_book::BookVersion;
-use chestnut_route::Ask;
+use chestnut_route::{Ask, TokenReply};
 use chestnut_unit::{NameError, Revision, lock};
 use tokio::runtime::Handle;
 use tokio_util::task::AbortOnDropHandle;
@@ -144,10 +144,14 @@
             want: params.get_want(),
             used: params.get_used(),
         };
-        if let Some(grant) = self.service.tokens(&org, ask) {
-            results.set_is_home(true);
-            results.set_granted(grant.tokens);
-            results.set_after_ms(u32::try_from(grant.after.as_millis()).unwrap_or(u32::MAX));
+        match self.service.tokens(&org, ask) {
+            TokenReply::Granted(grant) => {
+                results.set_is_home(true);
+                results.set_granted(grant.tokens);
+                results.set_after_ms(u32::try_from(grant.after.as_millis()).unwrap_or(u32::MAX));
+            }
+            TokenReply::Elsewhere(home) => results.set_elsewhere(home.to_string().as_str()),
+            TokenReply::Unknown => {}
         }
         Ok(())
     }
--- a/crates/relay/src/feed_server.rs
+++ b/crates/relay/src/feed_server.rs
@@ -10,7 +10,7 @@
 use chestnut_book::BookVersion;
 use chestnut_flow::lock;
 use chestnut_port::{Batch, Content, EncodedBatch, EncodedDelta, FeedError, FeedService, Item};
-use chestnut_route::{Ask, Grant};
+use chestnut_route::{Ask, TokenReply};
 use chestnut_unit::{DomainName, LeafId, OrgName, Revision};
 use futures::{FutureExt, future::BoxFuture};
 use serde::Serialize;
@@ -186,7 +186,7 @@
         .boxed()
     }
 
-    fn tokens(&self, org: &OrgName, ask: Ask) -> Option<Grant> {
+    fn tokens(&self, org: &OrgName, ask: Ask) -> TokenReply {
         limits::grant_to_peer(&self.0, org, ask)
     }
 }
--- a/crates/relay/src/feeds.rs
+++ b/crates/relay/src/feeds.rs
@@ -4,7 +4,7 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_port::{EncodedDelta, Feed, FeedError, FeedRpc, Heartbeat};
-use chestnut_route::{Ask, Grant};
+use chestnut_route::{Ask, TokenReply};
 use chestnut_unit::{DomainName, LeafId, OrgName};
 use futures::{FutureExt, future::BoxFuture};
 
@@ -43,14 +43,13 @@
     /// store lacks them. It can't be watched.
     fn held(&self, to: SocketAddr) -> Arc<dyn Feed<HeldEvacuation>>;
 
-    /// Asks the entry at `to` for tokens under the limit of an organisation;
-    /// `None` if it is not its home.
+    /// Asks the entry at `to` for tokens under the limit of an organisation.
     fn tokens<'a>(
         &'a self,
         to: SocketAddr,
         org: &'a OrgName,
         ask: Ask,
-    ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>>;
+    ) -> BoxFuture<'a, Result<TokenReply, FeedError>>;
 }
 
 impl PeerFeeds for FeedRpc {
@@ -83,7 +82,7 @@
         to: SocketAddr,
         org: &'a OrgName,
         ask: Ask,
-    ) -> BoxFuture<'a, Result<Option<Grant>, FeedError>> {
+    ) -> BoxFuture<'a, Result<TokenReply, FeedError>> {
         Self::tokens(self, to, org, ask).boxed()
     }
 }
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -9,7 +9,9 @@
 use chestnut_book::Organisation;
 use chestnut_fleet::{Homes, Reach};
 use chestnut_flow::lock;
-use chestnut_route::{Allowances, Ask, Grant, OrgUse, RateHome, RateMargins, Take, Token};
+use chestnut_route::{
+    Allowances, Ask, Grant, OrgUse, RateHome, RateMargins, Take, Token, TokenReply,
+};
 use chestnut_unit::{MemberId, OrgName, RateLimit, Time, WallTime};
 use slog::debug;
 use tokio::time::timeout;
@@ -20,6 +22,9 @@
 /// compared with the latency objective of an urgent request.
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 
+/// Entries that are asked in turn, each named by the one before. Entries that see each other
+/// differently may name each other in a circle.
+const MAX_HOPS: usize = 2;
 /// Least time between two looks at the members; short beside the time in which they notice the
 /// end of one.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(200);
@@ -38,6 +43,9 @@
     joined: usize,
     peers: BTreeMap<MemberId, SocketAddr>,
     reach: Reach,
+    /// Address of this entry for its peers, and those of the seeds in order.
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
     /// Whether an organisation of the book has a limit; without one nothing is updated.
     any_limit: bool,
     /// When the members are looked at again.
@@ -62,16 +70,20 @@
 }
 
 impl OrgLimits {
-    /// Creates the limits of an entry that starts and knows no other; there are `expected`
-    /// entries at least.
-    pub(crate) fn new(margins: RateMargins, expected: usize) -> Self {
+    /// Creates the limits of an entry that starts, at `own` for its peers, and knows no other but
+    /// the seeds.
+    pub(crate) fn new(margins: RateMargins, own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let mut seeds = seeds.to_vec();
+        seeds.sort();
         let state = LimitState {
             allowances: Allowances::new(margins),
             home: RateHome::new(margins, Time::ZERO),
             homes: Homes::default(),
             joined: 0,
             peers: BTreeMap::new(),
-            reach: Reach::starting(expected, Time::ZERO),
+            reach: Reach::default(),
+            own,
+            seeds,
             any_limit: false,
             next_update: Time::ZERO,
         };
@@ -144,13 +156,31 @@
         self.joined = homes.joined(wall);
     }
 
-    /// Returns the home of an organisation; this entry if it knows no member.
+    /// Returns the home of an organisation. An entry that has just started may know too few members
+    /// to be right; the one that it takes for the home then names another.
     fn home_of(&self, org: &OrgName, own: &MemberId, wall: WallTime) -> Home {
+        if self.homes.joined(wall) == 0 {
+            return self.starting_home();
+        }
         match self.homes.home_of(org, wall) {
             Some(id) if id != own => self.peers.get(id).map_or(Home::Own, |to| Home::Peer(*to)),
             _ => Home::Own,
         }
     }
+
+    /// Returns the home of all organisations while no member has run for a while, as after a loss
+    /// of power everywhere: the first seed that is known to run, else the first. All entries have
+    /// the same seeds, while it takes them seconds to know the same members.
+    fn starting_home(&self) -> Home {
+        let runs = |seed: &&SocketAddr| {
+            **seed == self.own || self.peers.values().any(|peer| peer == *seed)
+        };
+        let seed = self.seeds.iter().find(runs).or(self.seeds.first());
+        match seed {
+            Some(seed) if *seed != self.own => Home::Peer(*seed),
+            _ => Home::Own,
+        }
+    }
 }
 
 /// A token for one request. It is given back when dropped, unless the request may have run.
@@ -226,28 +256,38 @@
 ) -> Option<Grant> {
     let own = &shared.settings.entry.member;
     let home = lock(&shared.limits.state).home_of(org, own, shared.runtime.clock.wall());
-    let to = match home {
+    let mut to = match home {
         Home::Own => return Some(grant(shared, org, limit, ask)),
         Home::Peer(to) => to,
     };
-    let answer = timeout(ASK_TIMEOUT, peers.tokens(to, org, ask)).await;
-    let grant = answer.ok().and_then(Result::ok).flatten();
-    if grant.is_none() {
-        debug!(shared.runtime.log, "limit: no answer of the home of {org}"; "home" => %to);
+    for _ in 0..MAX_HOPS {
+        let answer = timeout(ASK_TIMEOUT, peers.tokens(to, org, ask)).await;
+        match answer {
+            Ok(Ok(TokenReply::Granted(grant))) => return Some(grant),
+            Ok(Ok(TokenReply::Elsewhere(home))) if home == shared.settings.listen.peers => break,
+            Ok(Ok(TokenReply::Elsewhere(home))) => to = home,
+            Ok(Ok(TokenReply::Unknown) | Err(_)) | Err(_) => break,
+        }
     }
-    grant
+    debug!(shared.runtime.log, "limit: no answer of the home of {org}"; "home" => %to);
+    None
 }
 
-/// Grants tokens to a peer that takes this entry for the home of an organisation; `None` if it
-/// is not, or knows no such limit.
-pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, ask: Ask) -> Option<Grant> {
+/// Answers a peer that takes this entry for the home of an organisation: grants tokens if it is,
+/// or else names the home.
+pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, ask: Ask) -> TokenReply {
     let own = &shared.settings.entry.member;
-    if lock(&shared.limits.state).home_of(org, own, shared.runtime.clock.wall()) != Home::Own {
-        return None;
+    let home = lock(&shared.limits.state).home_of(org, own, shared.runtime.clock.wall());
+    if let Home::Peer(home) = home {
+        return TokenReply::Elsewhere(home);
+    }
+    let book = lock(&shared.cell.state).extra.book.clone();
+    let organisations = book.as_ref().and_then(|book| book.organisations());
+    let organisation = organisations.and_then(|orgs| orgs.get(org));
+    match organisation.and_then(|organisation| organisation.limit) {
+        Some(limit) => TokenReply::Granted(grant(shared, org, limit, ask)),
+        None => TokenReply::Unknown,
     }
-    let book = lock(&shared.cell.state).extra.book.clone()?;
-    let limit = book.organisations()?.get(org)?.limit?;
-    Some(grant(shared, org, limit, ask))
 }
 
 /// Grants tokens as the home of an organisation.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -122,7 +122,7 @@
         let name = ServiceName::new("relay").expect("a legal name");
         let cell = Cell::new(name, Table::new(config), admission_queue(), relay_state);
         Self {
-            limits: OrgLimits::new(settings.limits, settings.seeds.len()),
+            limits: OrgLimits::new(settings.limits, settings.listen.peers, &settings.seeds),
             settings,
             runtime,
             cell: Arc::new(cell),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -85,7 +85,7 @@
     Action, CallId, CallKind, Context, End, PartialReason, Query, QueryConfig, Repeat, Timeliness,
     Trust,
 };
-pub use rate::{Allowances, Ask, Grant, OrgUse, RateHome, RateMargins, Take, Token};
+pub use rate::{Allowances, Ask, Grant, OrgUse, RateHome, RateMargins, Take, Token, TokenReply};
 pub use table::{Eviction, Table};
 pub use versions::{Route, Routes, Versions};
 pub use window::{Bounds, Window};
--- a/crates/route/src/rate/home.rs
+++ b/crates/route/src/rate/home.rs
@@ -1,6 +1,6 @@
 //! The home of organisations: the entry that grants tokens under their limits.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use chestnut_unit::{OrgName, RateLimit, Time};
 
@@ -24,6 +24,17 @@
     pub after: Duration,
 }
 
+/// What an entry answers to a request for tokens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TokenReply {
+    /// It is the organisation's home.
+    Granted(Grant),
+    /// It takes the entry at this address for the home.
+    Elsewhere(SocketAddr),
+    /// It knows of no such limit.
+    Unknown,
+}
+
 /// Longest delay told after a refusal. Callers that come back later than they need are worse
 /// off than those that come too early and are told again.
 const MAX_DELAY: Duration = Duration::from_secs(2);
--- a/crates/route/src/rate/mod.rs
+++ b/crates/route/src/rate/mod.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 
 pub use allowance::{Allowances, OrgUse, Take, Token};
-pub use home::{Ask, Grant, RateHome};
+pub use home::{Ask, Grant, RateHome, TokenReply};
 
 /// By how much all entries together may exceed a limit in any window.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
