--- a/crates/fleet/src/reach.rs
+++ b/crates/fleet/src/reach.rs
@@ -62,7 +62,8 @@
             .absent
             .values()
             .filter(|since| now.since(**since) < span);
-        let known = self.alive + absent.count();
-        self.alive as f64 / known.max(1) as f64
+        // This entry is alive, also before the first update.
+        let alive = self.alive.max(1);
+        alive as f64 / (alive + absent.count()) as f64
     }
 }
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -21,7 +21,6 @@
 /// How long a request waits for the home's answer. Far more than a round trip, and little
 /// compared with the latency objective of an urgent request.
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
-
 /// Entries that are asked in turn, each named by the one before. Entries that see each other
 /// differently may name each other in a circle.
 const MAX_HOPS: usize = 2;
@@ -150,10 +149,12 @@
     /// Drops the buckets of organisations that have got another home; those of which this entry
     /// has become the home start anew.
     fn homes_changed(&mut self, own: &MemberId, now: Time, wall: WallTime) {
-        let homes = &self.homes;
-        let is_home = |org: &OrgName| homes.home_of(org, wall) == Some(own);
+        let (homes, joined) = (&self.homes, self.homes.joined(wall));
+        let is_starting_home = joined == 0 && self.starting_home() == Home::Own;
+        let is_home =
+            |org: &OrgName| is_starting_home || joined > 0 && homes.home_of(org, wall) == Some(own);
         self.home.members_changed(is_home, now);
-        self.joined = homes.joined(wall);
+        self.joined = joined;
     }
 
     /// Returns the home of an organisation. An entry that has just started may know too few members
