Return times: no time that callers accept without a turn in a long overload

Cause: every refused caller was told a time within what it waits for, those beyond the turns a random one in the rest of it. At 2.2 times what can be served more than half of the first attempts must be refused in the end, whatever the order; each of those that came back in the crowd was told a time at which nothing was free.

Change: while callers of a list of services have been refused for longer than the caller waits, one without a turn is told more than that time. Callers that come earlier, as many do, compete with first attempts as before. In a shorter overload, as after a burst, times are as before, as most can be served then.

Test `caller_without_a_turn_is_told_more_than_it_accepts_in_a_long_overload` failed on the code before. `return_times_are_within_bounds` held that each time is within what the caller accepts; it holds that for turns and for callers refused within what they wait, and else that a longer time is at most 2.1 times that. The load test's callers now wait for a third of their remaining time at most, as real ones do: stricter.

--- a/crates/route/src/turns.rs
+++ b/crates/route/src/turns.rs
@@ -30,6 +30,10 @@
 /// Distance from the last turn to the first return without one, as a part of the latest return
 /// time. It allows for the wait before the refusal, which also counts as time spent.
 const UNRESERVED_GAP: f64 = 0.05;
+/// Least delay that is longer than a caller accepts, as a multiple of the longest that it does.
+const BEYOND_FACTOR: f64 = 1.05;
+/// Time without a refusal after which the next one begins a new overload.
+const OVERLOAD_GAP: Duration = Duration::from_secs(1);
 /// How far returning callers may run ahead of their share of the service rate: one burst of
 /// turns that several entries gave for the same time.
 const RETURN_BURST: Duration = Duration::from_millis(100);
@@ -147,6 +151,8 @@
     next_turn: Time,
     /// Time at which returning callers have used no more than their share of the rate.
     next_return: Time,
+    /// First and last refusal of the present overload.
+    refused: Option<(Time, Time)>,
     /// When the key was used last.
     used: Time,
 }
@@ -157,10 +163,21 @@
             rate: ServiceRate::new(now),
             next_turn: now,
             next_return: now,
+            refused: None,
             used: now,
         }
     }
 
+    /// Counts a refusal, and returns how long callers have been refused.
+    fn record_refusal(&mut self, now: Time) -> Duration {
+        let first = match self.refused {
+            Some((first, last)) if now.since(last) < OVERLOAD_GAP => first,
+            _ => now,
+        };
+        self.refused = Some((first, now));
+        now.since(first)
+    }
+
     /// Returns the time between two returns at `share` of the rate, if a rate is known. It is
     /// at most [`MAX_DELAY`], so a rate near zero doesn't take the turns of a long time.
     fn interval(&mut self, share: f64, now: Time) -> Option<Duration> {
@@ -208,13 +225,14 @@
     /// known.
     pub fn give_turn(&mut self, key: K, request: TurnRequest, now: Time) -> Option<Turn> {
         let turns = self.keys.get_mut(&key)?;
+        let overload = turns.record_refusal(now);
         let interval = turns.interval(TURN_SHARE, now)?;
         turns.used = now;
         let last = last_turn(request.longest);
         let at = turns.next_turn.max(now + FIRST_TURN);
         let waits = request.reserve && request.longest >= FIRST_TURN;
         if !waits || at > now + last {
-            return Some(without_turn(request));
+            return Some(without_turn(request, overload));
         }
         turns.next_turn = at + interval;
         let jitter = interval.min(MAX_JITTER).mul_f64(fraction(request.draw));
@@ -292,10 +310,19 @@
     (last_turn(longest) + latest.mul_f64(UNRESERVED_GAP)).min(latest)
 }
 
-/// Returns a time without a turn, from the first such time to the latest one.
-fn without_turn(request: TurnRequest) -> Turn {
-    let first = first_unreserved(request.longest);
-    let spread = latest(request.longest).saturating_sub(first);
+/// Returns a time without a turn for a caller that is refused in an overload that has lasted for
+/// `overload`: between the first such time and the latest one if callers of a burst may be served
+/// by then. If the overload has lasted longer than the caller waits, it is rather refused again,
+/// and is told a longer time than it accepts.
+fn without_turn(request: TurnRequest, overload: Duration) -> Turn {
+    let longest = request.longest.max(MIN_DELAY);
+    let (first, spread) = match overload > longest {
+        true => (longest.mul_f64(BEYOND_FACTOR), longest),
+        false => {
+            let first = first_unreserved(request.longest);
+            (first, latest(request.longest).saturating_sub(first))
+        }
+    };
     Turn {
         after: first + spread.mul_f64(fraction(request.draw)),
         reserved: false,
--- a/crates/route/tests/turns.rs
+++ b/crates/route/tests/turns.rs
@@ -109,6 +109,39 @@
     assert!((15..=25).contains(&without), "{without}");
 }
 
+/// Guards against a time that a caller accepts and is refused again at, while an overload lasts
+/// longer than callers wait: one without a turn is told more than that. The first time after a
+/// second without refusals is as in a burst.
+#[test]
+fn caller_without_a_turn_is_told_more_than_it_accepts_in_a_long_overload() {
+    let (mut book, mut now) = book(10);
+    let mut told = Vec::new();
+    for _ in 0..100 {
+        book.record_completed(0, now);
+        for _ in 0..3 {
+            let turn = book.give_turn(0, request(300), now).unwrap();
+            told.push((now, turn));
+        }
+        now = now + Duration::from_millis(10);
+    }
+    let unreserved = told.iter().filter(|(_, turn)| !turn.reserved);
+    let (early, late): (Vec<_>, Vec<_>) =
+        unreserved.partition(|(at, _)| *at <= Time::from_millis(2300));
+    assert!(early.len() > 50 && late.len() > 100);
+    assert!(early.iter().all(|(_, turn)| millis(Some(*turn)) == 135));
+    assert!(late.iter().all(|(_, turn)| millis(Some(*turn)) == 315));
+    assert!(told.iter().filter(|(_, turn)| turn.reserved).count() >= 35);
+    for _ in 0..120 {
+        book.record_completed(0, now);
+        now = now + Duration::from_millis(10);
+    }
+    let last = TurnRequest {
+        reserve: false,
+        ..request(300)
+    };
+    assert_eq!(millis(book.give_turn(0, last, now)), 135);
+}
+
 /// Guards against turns that are lost to callers that don't return a second time.
 #[test]
 fn caller_that_does_not_return_again_takes_no_turn() {
@@ -221,20 +254,28 @@
         ..ProptestConfig::default()
     })]
 
-    /// Guards against return times outside of the bounds, whatever the load was.
+    /// Guards against return times outside of the bounds, whatever the load was: callers accept
+    /// them, unless they get no turn and have been refused for longer than they wait.
     #[test]
     fn return_times_are_within_bounds(steps in steps()) {
         let mut book = TurnBook::default();
         let mut now = Time::ZERO;
+        let mut first_refusal = None;
         for (gap, step) in steps {
             now = now + Duration::from_millis(gap);
             match step {
                 Step::Complete => book.record_completed(0, now),
                 Step::Refuse { longest_ms, draw } => {
                     let request = TurnRequest { draw, ..request(longest_ms) };
+                    let refusing = now.since(*first_refusal.get_or_insert(now));
                     if let Some(turn) = book.give_turn(0, request, now) {
                         let latest = request.longest.clamp(MIN_DELAY, MAX_DELAY);
-                        prop_assert!(turn.after >= MIN_DELAY && turn.after <= latest);
+                        let longest = request.longest.max(MIN_DELAY);
+                        if turn.reserved || refusing <= longest {
+                            prop_assert!(turn.after >= MIN_DELAY && turn.after <= latest);
+                        } else if turn.after > latest {
+                            prop_assert!(turn.after > longest && turn.after <= longest * 21 / 10);
+                        }
                     }
                 }
             }
--- a/crates/route/tests/turns_load.rs
+++ b/crates/route/tests/turns_load.rs
@@ -242,7 +242,9 @@
         let turn = self.entries[at]
             .book
             .give_turn(KEY, request, Time::from_millis(ms));
+        // Callers wait for a third of their remaining time at most.
         let after = turn.map_or(left / 4, |turn| turn.after.as_millis() as u64);
+        let after = after.min(left / 3);
         let back = Caller {
             returns: true,
             reserved: turn.is_some_and(|turn| turn.reserved),
