Returning gathers hold no shard while they lack another

Change: it claims a shard only while that is all that it lacks, looked at anew at each check; and only queries of a single shard wait longer than first attempts.

Test `returning_gather_holds_no_shard_while_it_lacks_another` failed before.

--- a/crates/route/src/capacity.rs
+++ b/crates/route/src/capacity.rs
@@ -28,8 +28,8 @@
 pub(crate) struct Queued {
     /// All of them.
     pub(crate) all: u32,
-    /// Those of returning callers, which first attempts leave capacity to.
-    pub(crate) returning: u32,
+    /// Those of returning callers that first attempts leave capacity to.
+    pub(crate) claims: u32,
 }
 
 impl Table {
@@ -126,17 +126,26 @@
     }
 
     /// Counts a query that starts to wait for capacity.
-    pub(crate) fn enqueue(&mut self, budget: BudgetId, returning: bool) {
-        let queued = self.queued.entry(budget).or_default();
-        queued.all += 1;
-        queued.returning += u32::from(returning);
+    pub(crate) fn enqueue(&mut self, budget: BudgetId) {
+        self.queued.entry(budget).or_default().all += 1;
     }
 
     /// Removes a query from the count of those queued.
-    pub(crate) fn dequeue(&mut self, budget: BudgetId, returning: bool) {
+    pub(crate) fn dequeue(&mut self, budget: BudgetId) {
         if let Some(queued) = self.queued.get_mut(&budget) {
             queued.all = queued.all.saturating_sub(1);
-            queued.returning = queued.returning.saturating_sub(u32::from(returning));
+        }
+    }
+
+    /// Counts a query of a returning caller that first attempts leave capacity to.
+    pub(crate) fn claim(&mut self, budget: BudgetId) {
+        self.queued.entry(budget).or_default().claims += 1;
+    }
+
+    /// Removes a query from the count of those that first attempts leave capacity to.
+    pub(crate) fn release_claim(&mut self, budget: BudgetId) {
+        if let Some(queued) = self.queued.get_mut(&budget) {
+            queued.claims = queued.claims.saturating_sub(1);
         }
     }
 
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -90,6 +90,9 @@
     /// Budgets of the shards without capacity, while the query is queued and has
     /// made no call.
     queued: Vec<BudgetId>,
+    /// Budgets of the shards whose capacity first attempts leave to this query of a returning
+    /// caller, while one of them is all that it lacks.
+    claimed: Vec<BudgetId>,
     /// Its place in the table's queue, while it waits there and has made no call.
     waiter: Option<WaiterId>,
     /// The shards, as positions in the query, whose first call waits in the table's queue.
@@ -141,6 +144,7 @@
             ends: Vec::new(),
             start: cx.now,
             queued: Vec::new(),
+            claimed: Vec::new(),
             waiter: None,
             shard_waiters: BTreeMap::new(),
             shard_check: Time::MAX,
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -34,6 +34,8 @@
     without_capacity: Vec<usize>,
     /// Their budgets, which identify their services.
     budgets: Vec<BudgetId>,
+    /// Number of them that are needed for minimum coverage.
+    needed: usize,
     /// Queries per second for which capacity is freed, given how much each needs.
     rate: f64,
 }
@@ -118,7 +120,7 @@
             let route = route(number);
             let before = match self.is_returning() {
                 true => 0,
-                false => cx.table.queued(route.budget).returning,
+                false => cx.table.queued(route.budget).claims,
             };
             match before {
                 0 => cx.table.any_free(&route.replicas, version, cx.now),
@@ -145,6 +147,7 @@
                 .map(|number| route(*number).budget)
                 .collect(),
             without_capacity,
+            needed,
         })
     }
 
@@ -155,13 +158,10 @@
         let until = self.start + self.max_wait();
         let new = self.queued.is_empty();
         let returning = self.is_returning();
+        self.release_claims(cx);
         let before = |budget: &BudgetId| {
             let queued = cx.table.queued(*budget);
-            if returning {
-                queued.returning
-            } else {
-                queued.all
-            }
+            if returning { queued.claims } else { queued.all }
         };
         let ahead = shortage.budgets.iter().map(before).max().unwrap_or(0);
         let left = until.since(cx.now).as_secs_f64();
@@ -171,22 +171,37 @@
             self.finish(End::Partial(PartialReason::NoCapacity), cx);
             return;
         }
+        if returning && shortage.needed == 1 {
+            let budgets = shortage.budgets.iter();
+            budgets.for_each(|budget| cx.table.claim(*budget));
+            self.claimed = shortage.budgets.clone();
+        }
         if new {
             shortage
                 .budgets
                 .iter()
-                .for_each(|budget| cx.table.enqueue(*budget, returning));
+                .for_each(|budget| cx.table.enqueue(*budget));
             self.queued = shortage.budgets;
         }
         self.next_check = self.check_time(cx.now).min(until);
     }
 
+    /// Lets first attempts have the capacity that this query waits for.
+    fn release_claims(&mut self, cx: &mut Context<'_>) {
+        for budget in std::mem::take(&mut self.claimed) {
+            cx.table.release_claim(budget);
+        }
+    }
+
     /// Returns the longest wait for capacity before the first call.
     fn max_wait(&self) -> Duration {
         let objective = self.config.objective.since(self.start);
         match self.config.queue {
-            // A returning caller doesn't come back once more, so a longer wait costs it nothing.
-            QueueConfig::Bounded(wait) if wait.returning => objective / QUEUE_DIVISOR,
+            // A returning caller doesn't come back once more, so a longer wait costs it nothing. A
+            // gather that starts later is late, as it lasts as long as its slowest call.
+            QueueConfig::Bounded(wait) if wait.returning && self.shards.len() == 1 => {
+                objective / QUEUE_DIVISOR
+            }
             QueueConfig::Bounded(BoundedWait { max_wait, .. }) if max_wait.is_finite() => {
                 objective.mul_f64(max_wait.clamp(0.0, 1.0))
             }
@@ -201,9 +216,9 @@
 
     /// Removes the query from the capacity queues; does nothing if it isn't queued.
     pub(super) fn leave_queue(&mut self, cx: &mut Context<'_>) {
-        let returning = self.is_returning();
+        self.release_claims(cx);
         for budget in std::mem::take(&mut self.queued) {
-            cx.table.dequeue(budget, returning);
+            cx.table.dequeue(budget);
         }
         if let Some(id) = self.waiter.take() {
             cx.table.leave_capacity_queue(id, cx.now);
--- a/crates/route/tests/returning_first.rs
+++ b/crates/route/tests/returning_first.rs
@@ -113,3 +113,42 @@
         assert_eq!(answered.count(), served, "{returning}");
     }
 }
+
+/// Guards against capacity that stays idle for a returning gather which waits for another shard
+/// too: first attempts get it.
+#[test]
+fn returning_gather_holds_no_shard_while_it_lacks_another() {
+    let mut world = World::new(2, 1, 1);
+    (world.ordered, world.bounded) = (false, true);
+    let slow = world.routes.shards[0].replicas[0];
+    world.slowness.insert(slow, 10.0);
+    let of_shard = |shard: usize| shard..shard + 1;
+    world.ask(Ask {
+        shards: of_shard(0),
+        ..ask(false)
+    });
+    world.ask(Ask {
+        shards: of_shard(1),
+        ..ask(false)
+    });
+    world.ask(Ask {
+        at: at(1),
+        shards: 0..2,
+        ..ask(true)
+    });
+    world.ask(Ask {
+        at: at(20),
+        shards: of_shard(1),
+        ..ask(false)
+    });
+    world.run(at(1_000));
+    let last = world
+        .done
+        .iter()
+        .find(|done| done.ask.at == at(20))
+        .unwrap();
+    assert!(
+        last.started.is_some_and(|started| started <= at(30)),
+        "{last:?}"
+    );
+}
