Planned stops: one end of the process that every decision asks

Cause, from the entries' logs beside the leafs' records: a stop was a row of sleeps, shares of the grace. The entry took and passed on requests for 0.75 of it whatever they last, then gave them 1.1 s; neither admission nor a call knew when the process ends. A second signal skipped the first sleep and kept the 1.1 s. The time to announce the stop was not counted at all.

Change: the moment by which everything is answered is one value, `Lifetime` (0.4 s before the grace ends), set at the signal. Queries ask it at their start, while they wait for capacity, at second tries, hedges and deferred calls; so do the wait for a token, for admission and for a body, and the server for callers. What is expected to outlast it, by the observed durations of whole queries of the rule (99 in 100, or the longest where the request must not run twice), is refused at once as not run. What takes longer than expected is answered at that moment: a gather with what is there, else 502. The listener closes when not even the shortest rule fits. `Stop<Serving>` and `Stop<Closing>` replace the sleeps. A second signal closes at once and leaves what runs the same end. Log: `fleet: ... closes` with its reason, `cuts connections`, and `process_left_ms`, `expected_ms` of a request.

--- a/crates/flow/src/fanout.rs
+++ b/crates/flow/src/fanout.rs
@@ -18,7 +18,10 @@
 };
 use rand_chacha::ChaCha8Rng;
 use slog::debug;
-use tokio::{sync::Notify, time::sleep_until};
+use tokio::{
+    sync::{Notify, watch},
+    time::sleep_until,
+};
 
 use crate::{Cell, CellState, Runtime, TraceLevel, lock};
 
@@ -96,6 +99,8 @@
     actions: Vec<Action>,
     rng: ChaCha8Rng,
     queued: Queued,
+    /// When the process ends by plan.
+    process_end: watch::Receiver<Option<Time>>,
 }
 
 /// The places of the query and its shards in the capacity queue, and the notification that wakes
@@ -130,6 +135,7 @@
         actions: Vec::new(),
         rng: runtime.rng(),
         queued: Queued::default(),
+        process_end: runtime.lifetime.subscribe(),
     };
     fanout.start(routes, subset, config);
     fanout.drive().await
@@ -140,7 +146,8 @@
     C::Part: 'static,
 {
     /// Starts the query, which adds its first calls to the actions to run.
-    fn start(&mut self, routes: Arc<Routes>, subset: Option<&[usize]>, config: QueryConfig) {
+    fn start(&mut self, routes: Arc<Routes>, subset: Option<&[usize]>, mut config: QueryConfig) {
+        config.process_end = *self.process_end.borrow_and_update();
         let now = self.runtime.now();
         let mut state = lock(&self.cell.state);
         let mut cx = Context {
@@ -155,8 +162,8 @@
         self.query = Some(query);
     }
 
-    /// Performs actions, and passes replies and timeouts to the query until it
-    /// ends.
+    /// Performs actions, and passes replies, timeouts and the end of the process to the
+    /// query until it ends.
     async fn drive(mut self) -> Query<C::Part> {
         loop {
             self.run_actions();
@@ -172,12 +179,21 @@
                         self.handle_reply(call, reply);
                     }
                 }
+                Ok(()) = self.process_end.changed() => self.limit(),
                 () = self.queued.woken() => self.with_query(|query, cx| query.tick(cx)),
                 () = sleep_until(next_tick) => self.with_query(|query, cx| query.tick(cx)),
             }
         }
     }
 
+    /// Tells the query when the process ends.
+    fn limit(&mut self) {
+        let end = *self.process_end.borrow_and_update();
+        if let Some(end) = end {
+            self.with_query(|query, cx| query.stop_by(end, cx));
+        }
+    }
+
     /// Starts and cancels the calls that the query asked for.
     fn run_actions(&mut self) {
         for action in std::mem::take(&mut self.actions) {
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -12,10 +12,14 @@
 mod admission;
 mod cell;
 mod fanout;
+mod lifetime;
 mod runtime;
+mod time_left;
 
 pub use admission::{AdmittedRequest, admit};
 pub use cell::{Cell, CellState, QueueId};
 pub use chestnut_unit::lock;
 pub use fanout::{CallFuture, CallReply, CallRequest, CallTransport, run};
+pub use lifetime::Lifetime;
 pub use runtime::{InFlightGuard, Runtime, TraceLevel};
+pub use time_left::TimeLeft;
--- a/crates/flow/src/runtime.rs
+++ b/crates/flow/src/runtime.rs
@@ -1,4 +1,4 @@
-//! Shared services of an entry's tasks: log, clock and random numbers.
+//! Shared services of an entry's tasks: log, clock, random numbers and planned end.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
@@ -7,6 +7,8 @@
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 use slog::Logger;
 
+use crate::Lifetime;
+
 /// Which calls of requests are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum TraceLevel {
@@ -19,8 +21,8 @@
     All,
 }
 
-/// The log, trace level, clock and random seed that the tasks of one entry
-/// share.
+/// The log, trace level, clock, random seed and planned end that the tasks of one
+/// entry share.
 #[derive(Debug)]
 pub struct Runtime {
     /// The log.
@@ -29,6 +31,8 @@
     pub trace: TraceLevel,
     /// The clock.
     pub clock: Clock,
+    /// When the process ends by plan.
+    pub lifetime: Lifetime,
     draws: AtomicU64,
     seed: u64,
 }
@@ -42,6 +46,7 @@
             log,
             trace,
             clock,
+            lifetime: Lifetime::default(),
             draws: AtomicU64::new(0),
             seed,
         }
--- a/crates/port/src/serve.rs
+++ b/crates/port/src/serve.rs
@@ -147,16 +147,17 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Shuts down gracefully: stops accepting, closes idle connections, and
-    /// waits for requests in flight for at most `wait`. Does not abort them after that.
-    pub async fn close(&self, wait: Duration) {
+    /// Shuts down gracefully: stops accepting, closes idle connections, and waits until
+    /// `until` at most for those with a request. Returns the connections that are still open;
+    /// dropping the server aborts them.
+    pub async fn close(&self, until: Instant) -> usize {
         /// Interval between checks for open connections.
         const POLL_INTERVAL: Duration = Duration::from_millis(10);
         self.stage.send_replace(Stage::Closing);
-        let deadline = Instant::now() + wait;
-        while self.open() > 0 && Instant::now() < deadline {
+        while self.open() > 0 && Instant::now() < until {
             sleep(POLL_INTERVAL).await;
         }
+        self.open()
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -10,11 +10,11 @@
 
 use bytes::Bytes;
 use chestnut_book::{RetrySafety, Rule, Target, merge_top};
-use chestnut_flow::{AdmittedRequest, InFlightGuard, admit, lock, run};
+use chestnut_flow::{AdmittedRequest, InFlightGuard, TimeLeft, admit, lock, run};
 use chestnut_port::{ForwardedRequest, LeafReply};
 use chestnut_quarantine::Fingerprint;
 use chestnut_route::{
-    AdmitRequest, End, Ix, PartialReason, Query, QueryConfig, Repeat, Sheddable, Timeliness,
+    AdmitRequest, Class, End, Ix, PartialReason, Query, QueryConfig, Repeat, Sheddable, Timeliness,
 };
 use chestnut_unit::{Coverage, Execution, Reason, Share, Time, Urgency};
 use hyper::header::{AUTHORIZATION, HeaderValue};
@@ -81,6 +81,8 @@
     Timeout,
     /// Every call failed.
     Failed,
+    /// A planned stop ends before an answer is there.
+    Stopping,
 }
 
 /// A request without an answer: why, whether it may have run, and when to retry.
@@ -130,6 +132,9 @@
 /// Least retry delay after a request over the limit of its organisation: a round trip.
 const RETRY_AFTER_LIMIT: Duration = Duration::from_millis(10);
 
+/// Retry delay for callers that a leaving entry refuses: another entry can serve them at once.
+const RETRY_AFTER_STOP: Duration = Duration::from_millis(10);
+
 /// Fields of the log line of a request, beside its reply.
 struct RequestLog {
     /// The rule that matched.
@@ -163,6 +168,10 @@
     full_shards: String,
     /// The organisation, or `-`, and the first digits of the digest of its key.
     caller: (String, String),
+    /// In a planned stop, the time from arrival to its end.
+    process_left: Option<Duration>,
+    /// Time that requests of its rule take, if known.
+    expected: Option<Duration>,
 }
 
 /// Handles a request, logs its outcome, and records the overrun of an answer that was cut
@@ -189,6 +198,8 @@
         answered: false,
         full_shards: String::new(),
         caller: ("-".to_owned(), request.credential.prefix()),
+        process_left: None,
+        expected: None,
     };
     let mut request = request;
     let reply = handle(shared, peers, &mut request, start, &mut log)
@@ -226,16 +237,26 @@
         return Err(not_run(DeclineReason::NoRule, None));
     };
     log.rule = Some(rule.clone());
+    let timeout = request.remaining.unwrap_or(rule.timeout).min(rule.timeout);
+    let deadline = start + timeout;
+    let time_left = TimeLeft::new(&shared.runtime, deadline, expected_time(shared, &rule));
+    log.process_left = time_left.of_process();
+    log.expected = time_left.expected;
     let organisation = authorise(shared, &book, &rule, request.credential)
         .map_err(|(reason, after)| not_run(reason, after))?;
     if let Some(organisation) = &organisation {
         log.caller.0 = organisation.name.to_string();
         Arc::make_mut(&mut request.message).organisation = Some(organisation.name.clone());
     }
+    if !time_left.suffices() {
+        return Err(stopping());
+    }
     let mut permit = match &organisation {
-        Some(organisation) => limits::admit(shared, peers, organisation)
-            .await
-            .map_err(over_limit)?,
+        Some(organisation) => {
+            let permit = limits::admit(shared, peers, organisation);
+            let permit = time_left.bound(permit).await.ok_or_else(stopping)?;
+            permit.map_err(over_limit)?
+        }
         None => None,
     };
     let rank = organisation
@@ -262,8 +283,6 @@
     );
     log.returning = returning;
     log.send_by = (timeliness == Timeliness::InTime).then_some(send_by);
-    let timeout = request.remaining.unwrap_or(rule.timeout).min(rule.timeout);
-    let deadline = start + timeout;
     let admission = AdmitRequest {
         id: shared.next_request(),
         urgency: urgency(rank),
@@ -276,8 +295,10 @@
         deadline,
         returning,
     };
-    let admitted = admit(&shared.runtime, &shared.cell, queue, admission)
+    let admitted = time_left
+        .bound(admit(&shared.runtime, &shared.cell, queue, admission))
         .await
+        .ok_or_else(stopping)?
         .map_err(|(reason, after)| {
             log.waited = Some(shared.now().since(start));
             let after = returns.give_turn().unwrap_or(after);
@@ -285,14 +306,12 @@
         })?;
     let config = QueryConfig {
         deadline,
+        process_end: None,
         min_coverage: min_coverage(&rule),
         objective: start + send_by,
         timeliness,
         max_attempts: rule.attempts,
-        repeat: match rule.kind {
-            RetrySafety::Idempotent => Repeat::Idempotent,
-            RetrySafety::Once => Repeat::OnlyIfNotRun,
-        },
+        repeat: repeat(rule.kind),
         trust,
         class,
         queue: queue_config(
@@ -344,6 +363,16 @@
     returns.settle(reply)
 }
 
+/// Returns the time that requests of `rule` take by what was observed, or else the time that is
+/// expected of them.
+fn expected_time(shared: &Shared, rule: &Rule) -> Option<Duration> {
+    let state = lock(&shared.cell.state);
+    let known = state.extra.rules.get(&rule.name);
+    let class = known.map_or_else(Class::default, |known| known.class);
+    let profile = state.table.profile(class);
+    profile.query_time(repeat(rule.kind), rule.objective)
+}
+
 /// Creates the calls of a request by `rule`, with no outcomes yet.
 fn leaf_calls<'a>(shared: &'a Shared, rule: &Rule, request: &RelayRequest) -> LeafCalls<'a> {
     LeafCalls {
@@ -372,6 +401,14 @@
     admitted.shed_calls = query.shed_calls();
 }
 
+/// Maps whether a rule's requests may run more than once to whether their calls are repeated.
+pub(crate) fn repeat(kind: RetrySafety) -> Repeat {
+    match kind {
+        RetrySafety::Idempotent => Repeat::Idempotent,
+        RetrySafety::Once => Repeat::OnlyIfNotRun,
+    }
+}
+
 /// Maps the rank of a rule or an organisation to the urgency of its requests in admission; 0 is the most urgent.
 fn urgency(rank: u32) -> Urgency {
     match rank {
@@ -429,6 +466,9 @@
 /// `retry_after`, only if no call can have run on a leaf; otherwise it names no delay.
 fn query_failure(query: &Query<LeafReply>, retry_after: Duration) -> Declined {
     if query.not_run().is_some() {
+        if query.end() == Some(End::Partial(PartialReason::Stopping)) {
+            return stopping();
+        }
         let reason = match query.end() {
             Some(End::Partial(PartialReason::Deadline)) => Reason::Deadline,
             Some(End::Partial(PartialReason::NoCapacity)) => Reason::Overload,
@@ -438,6 +478,7 @@
     }
     let reason = match query.end() {
         Some(End::Partial(PartialReason::Deadline)) => DeclineReason::Timeout,
+        Some(End::Partial(PartialReason::Stopping)) => DeclineReason::Stopping,
         _ => DeclineReason::Failed,
     };
     Declined {
@@ -454,6 +495,11 @@
     base.mul_f64(0.5 + draw as f64 / u64::MAX as f64)
 }
 
+/// The refusal of a request that has not run and can't be answered before the process ends.
+pub(crate) fn stopping() -> Declined {
+    not_run(DeclineReason::Stopping, Some(RETRY_AFTER_STOP))
+}
+
 /// The refusal of a request over the limit of its organisation, which may come back `after`
 /// that time.
 fn over_limit(after: Duration) -> Declined {
@@ -502,6 +548,8 @@
         "left_ms" => request.remaining.map(|left| left.as_millis() as u64),
         "ahead_ms" => log.send_by.map(|send_by| send_by.as_millis() as u64),
         "returning" => log.returning, "retry_after_ms" => retry_after.map(|after| after.as_millis() as u64),
+        "process_left_ms" => log.process_left.map(|left| left.as_millis() as u64),
+        "expected_ms" => log.expected.map(|time| time.as_millis() as u64),
         "waited_ms" => log.waited.map(|waited| waited.as_millis() as u64),
         "organisation" => &log.caller.0, "key" => &log.caller.1,
         "calls" => log.calls, "withheld" => log.withheld, "missing" => missing, "in_vain" => &log.failed_leafs,
@@ -534,6 +582,7 @@
             Self::Declined(reason) => reason.as_str(),
             Self::Timeout => "timeout",
             Self::Failed => "calls failed",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -51,6 +51,7 @@
 mod settings_file;
 mod shared;
 mod state;
+mod stop;
 mod store_status;
 mod upstream;
 mod upstream_poll;
@@ -77,6 +78,7 @@
 };
 pub use settings_file::{Reload, SettingsFile};
 pub use shared::Phase;
+pub use stop::{Closing, Serving, Stop};
 pub use store_status::{PollNews, StoreStatus};
 pub use upstream::{Cause, Upstream, UpstreamSelector};
 pub use watch_cache::WatchCache;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,7 @@
 //! The handle of a running entry, through which the daemon uses it.
 
 use std::{
+    future::Future,
     io,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
@@ -12,8 +13,8 @@
 use chestnut_port::{Feed, FeedService, Forward, ProbeTransport, ServeLimits, Traffic};
 use chestnut_unit::{DomainName, LeafId};
 use futures::future::BoxFuture;
-use slog::{Logger, info};
-use tokio::{sync::watch, task::JoinSet, time::sleep};
+use slog::Logger;
+use tokio::{sync::watch, task::JoinSet};
 
 use crate::{
     adverts::{self, Adverts},
@@ -22,7 +23,7 @@
     feed_server::FeedServer,
     feed_watch,
     feeds::{Feeds, PeerFeeds},
-    forward::{self, RelayRequest, Reply},
+    forward::{self, Declined, RelayRequest, Reply, stopping},
     leafs::LeafRegistration,
     members::{self, Members},
     quarantine,
@@ -33,11 +34,6 @@
     upstream_poll,
 };
 
-/// Fraction of the grace period in which callers that still connect are served.
-const SERVE_FRACTION: f64 = 0.75;
-/// Time at the end of the grace period reserved for the last log lines and the exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(400);
-
 /// Called once at the start: serves this entry's feeds to other entries and returns the
 /// client of theirs. Fails if the address for peers can't be bound.
 pub type FeedBinder = Box<
@@ -248,46 +244,27 @@
         self.shared.in_flight.load(Ordering::Relaxed)
     }
 
-    /// Starts a planned stop: sets [`Phase::Leaving`] and announces it to other members, which
-    /// no longer direct callers here. Requests that still arrive are served.
-    pub async fn leave(&self) {
-        let shared = &self.shared;
-        shared.phase.send_replace(Phase::Leaving);
-        info!(shared.runtime.log, "fleet: {} is leaving", shared.settings.entry.member;
-            "in_flight" => self.in_flight());
-        members::leave(shared, &self.members).await;
-    }
-
-    /// Stops by plan: leaves, serves callers that still come for part of the grace period or
-    /// until `again` is ready, a further request to stop, and then closes their connections
-    /// with `close` in the time that remains.
-    pub async fn stop<F: Future<Output = ()>>(
-        &self,
-        again: impl Future<Output = ()>,
-        close: impl FnOnce(Duration) -> F,
-    ) {
-        let grace = self.grace();
-        self.leave().await;
-        let serve = grace.mul_f64(SERVE_FRACTION);
+    /// Waits for `work`, at most until everything must be answered in a planned stop.
+    ///
+    /// # Errors
+    ///
+    /// The refusal of a request that has not run, at the end of the stop.
+    pub async fn before_end<T>(&self, work: impl Future<Output = T>) -> Result<T, Declined> {
+        let runtime = &self.shared.runtime;
         tokio::select! {
-            () = sleep(serve) => {}
-            () = again => {}
+            biased;
+            done = work => Ok(done),
+            () = runtime.lifetime.until_left(&runtime.clock, Duration::ZERO) => Err(stopping()),
         }
-        close(grace.saturating_sub(serve).saturating_sub(EXIT_RESERVE)).await;
-        self.finish(EXIT_RESERVE / 4).await;
     }
 
-    /// Waits until no request is in flight, for at most `wait`, and then announces to other
-    /// members that the entry stops. It does not end the tasks.
-    pub async fn finish(&self, wait: Duration) {
-        /// Interval between checks for requests in flight.
-        const POLL_INTERVAL: Duration = Duration::from_millis(10);
-        let deadline = self.shared.now() + wait;
-        while self.in_flight() > 0 && self.shared.now() < deadline {
-            sleep(POLL_INTERVAL).await;
-        }
-        members::announce_stop(&self.shared, &self.members).await;
-        info!(self.shared.runtime.log, "fleet: {} has stopped", self.shared.settings.entry.member;
-            "in_flight" => self.in_flight());
+    /// What the tasks of this entry share.
+    pub(crate) fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// The members that this entry knows.
+    pub(crate) fn members(&self) -> &Members {
+        &self.members
     }
 }
--- a/crates/relay/src/returns.rs
+++ b/crates/relay/src/returns.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     callers::HONOURED_DIVISOR,
-    forward::{Declined, Reply},
+    forward::{DeclineReason, Declined, Reply},
     shared::Shared,
 };
 
@@ -43,7 +43,9 @@
             }
             Err(declined) => declined,
         };
-        if declined.retry_after.is_some() {
+        // Another entry may have a place at once.
+        let elsewhere = declined.reason == DeclineReason::Stopping;
+        if declined.retry_after.is_some() && !elsewhere {
             declined.retry_after = self.give_turn().or(declined.retry_after);
         }
         Err(declined)
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -58,6 +58,8 @@
     pub seeds: Vec<u16>,
     /// Further lines of the settings.
     pub settings: &'static str,
+    /// `times.grace` of the entries; `None` counts as 6 s.
+    pub grace: Option<Duration>,
 }
 
 impl Cluster {
@@ -70,12 +72,13 @@
             .map(|n| peer_address(*n).to_string())
             .collect();
         let ip = peer_address(n).ip();
+        let grace = self.grace.unwrap_or(Duration::from_secs(6)).as_millis();
         let text = format!(
             "seeds = {seeds:?}\n[entry]\nmember = \"entry-{n}\"\ndomain = \"{domain}\"\ncores = 0.25\nlink = 1000\nfiles = 1024\n\
              [listen]\ncallers = \"{ip}:1\"\nreadiness = \"{ip}:2\"\n\
              directory = \"{ip}:3\"\npeers = \"{ip}:4\"\nmetrics = \"{ip}:5\"\n\
              [store]\naddress = \"10.0.9.9:1\"\n[extra]\npart = 0.2\nslack = 52\nwindow = \"10s\"\n\
-             [cold]\nover = 1.5\nslack = 5\n[limits]\nwindow = 5\nover = 0.1\nslack = 20\n[times]\ngrace = \"6s\"\ndrain = \"3s\"\n{}",
+             [cold]\nover = 1.5\nslack = 5\n[limits]\nwindow = 5\nover = 0.1\nslack = 20\n[times]\ngrace = \"{grace}ms\"\ndrain = \"3s\"\n{}",
             self.settings
         );
         let settings = RelaySettings::parse(&text, Path::new("entry.toml")).unwrap();
--- a/crates/route/src/estimate.rs
+++ b/crates/route/src/estimate.rs
@@ -156,6 +156,12 @@
         self.high
     }
 
+    /// The longest duration in both windows, zero before the first sample.
+    #[must_use]
+    pub fn longest(&self) -> Duration {
+        Duration::from_micros(self.old.max().max(self.new.max()))
+    }
+
     /// Recomputes the cached quantiles.
     fn refresh(&mut self) {
         self.unrefreshed = 0;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -87,7 +87,7 @@
 pub use profile::{Class, Profile};
 pub use query::{
     Action, BoundedWait, CallId, CallKind, Context, End, OwnerId, PartialReason, Query,
-    QueryConfig, QueueConfig, QueueRank, Repeat, Timeliness, Trust,
+    QueryConfig, QueueConfig, QueueRank, Repeat, Timeliness, Trust, can_end_by,
 };
 pub use queue::{QueueStats, WaiterId};
 pub use rate::{
--- a/crates/route/src/query/calls.rs
+++ b/crates/route/src/query/calls.rs
@@ -16,11 +16,12 @@
 impl<P> Query<P> {
     /// Calls other replicas for shards whose calls have all ended. Does nothing
     /// if an earlier call may have run and must not be repeated, or if the
-    /// deadline is too near. A retry waits while the query needs a first
+    /// deadline or the end of the process is too near. A retry waits while the query needs a first
     /// answer; shards that all replicas shed back off.
     pub(super) fn retry(&mut self, uncovered: &[usize], kind: CallKind, cx: &mut Context<'_>) {
         let may_have_run = kind == CallKind::Retry && self.config.repeat == Repeat::OnlyIfNotRun;
-        if may_have_run || cx.now + HOP_ALLOWANCE >= self.config.deadline {
+        let too_late = cx.now + HOP_ALLOWANCE >= self.last_time() || !self.can_finish_call(cx);
+        if may_have_run || too_late {
             return;
         }
         if kind == CallKind::Retry && self.needs_first_answer() {
@@ -96,8 +97,12 @@
 
     /// Chooses a replica for each shard and makes one call per chosen replica.
     /// Shards whose replicas lack capacity or whose call is not paid for are
-    /// deferred; a shard without a replica gets no call.
+    /// deferred; a shard without a replica gets no call, and none gets one that the process
+    /// can't wait for.
     pub(super) fn call(&mut self, positions: &[usize], kind: CallKind, cx: &mut Context<'_>) {
+        if !self.can_finish_call(cx) {
+            return;
+        }
         let mut plan: BTreeMap<Ix, Vec<usize>> = BTreeMap::new();
         for position in positions {
             match self.choose_for(*position, kind, cx) {
@@ -183,7 +188,7 @@
         };
         let need =
             Duration::from_nanos(cx.table.expected_nanos(self.config.class, to, cx.now) as u64);
-        let too_late = kind == CallKind::Hedge && cx.now + need >= self.config.deadline;
+        let too_late = kind == CallKind::Hedge && cx.now + need >= self.last_time();
         (!too_late).then_some(to)
     }
 
@@ -214,7 +219,7 @@
             to,
             shards: shards.clone(),
             kind,
-            deadline: self.config.deadline - HOP_ALLOWANCE,
+            deadline: self.last_time() - HOP_ALLOWANCE,
         });
         let attempt = Attempt::plan(to).queue().send(cx.now);
         self.calls.push(Call {
--- a/crates/route/src/query/completion.rs
+++ b/crates/route/src/query/completion.rs
@@ -81,11 +81,14 @@
     }
 
     /// Returns why the `exhausted` shards have no call in flight and get none: the
-    /// deadline is too near, no replica of one of them may be called, or else no
+    /// deadline or the end of the process is too near, no replica of one of them may be called, or else no
     /// replica is left to try.
     pub(super) fn partial_reason(&self, exhausted: &[usize], cx: &Context<'_>) -> PartialReason {
-        if cx.now + HOP_ALLOWANCE >= self.config.deadline {
-            return PartialReason::Deadline;
+        if cx.now + HOP_ALLOWANCE >= self.last_time() {
+            return self.timeout_reason();
+        }
+        if !self.can_finish_call(cx) {
+            return PartialReason::Stopping;
         }
         let version = self.version();
         let lost = exhausted.iter().any(|position| {
@@ -107,6 +110,7 @@
     /// in flight.
     pub(super) fn finish(&mut self, end: End, cx: &mut Context<'_>) {
         self.end = Some(end);
+        self.record_duration(end, cx);
         self.leave_queue(cx);
         for number in 0..self.calls.len() {
             self.cancel(CallId(number as u32), cx);
--- a/crates/route/src/query/config.rs
+++ b/crates/route/src/query/config.rs
@@ -74,6 +74,8 @@
     /// The answer has the minimum coverage and the latency objective has passed, or
     /// all missing shards have only unresponsive back ends.
     Sufficient,
+    /// The process ends before the calls can.
+    Stopping,
 }
 
 /// How a query ended.
@@ -162,6 +164,8 @@
 pub struct QueryConfig {
     /// Time by which the answer must be ready.
     pub deadline: Time,
+    /// When the process ends, if a planned stop has begun.
+    pub process_end: Option<Time>,
     /// Minimum coverage: the share of shards that the answer must include. The query
     /// ends once it is out of reach.
     pub min_coverage: Share,
@@ -189,6 +193,7 @@
     pub fn new(deadline: Time, min_coverage: Share) -> Self {
         Self {
             deadline,
+            process_end: None,
             min_coverage,
             objective: deadline,
             timeliness: Timeliness::InTime,
--- a/crates/route/src/query/mod.rs
+++ b/crates/route/src/query/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod gain;
 mod ordered;
+mod stop;
 mod trial;
 mod wait;
 
@@ -17,6 +18,7 @@
     QueueRank, Repeat, Timeliness, Trust,
 };
 use rand::Rng;
+pub use stop::can_end_by;
 use wait::Deferred;
 
 use crate::{
@@ -168,6 +170,10 @@
             query.end = Some(End::Partial(query.partial_reason(&unavailable, cx)));
             return query;
         }
+        if !query.can_finish(cx) {
+            query.end = Some(End::Partial(PartialReason::Stopping));
+            return query;
+        }
         match config.queue {
             QueueConfig::Polling | QueueConfig::Bounded(_) => query.make_first_calls(cx),
             QueueConfig::Ordered(rank) => query.ask_for_capacity(rank, cx),
@@ -233,8 +239,8 @@
         self.check_end(cx);
     }
 
-    /// Handles the passing of time: ends the query at its deadline, or at the
-    /// objective with minimum coverage; makes deferred calls that are due, and
+    /// Handles the passing of time: ends the query at its deadline or with the process, or at
+    /// the objective with minimum coverage; makes deferred calls that are due, and
     /// hedges late shards. A queued query checks for capacity. Must be called at
     /// [`Query::next_tick`], and when [`Table::take_woken`] returns one of
     /// [`Query::waiters`].
@@ -242,8 +248,8 @@
         if self.end.is_some() {
             return;
         }
-        if cx.now >= self.config.deadline {
-            self.finish(End::Partial(PartialReason::Deadline), cx);
+        if cx.now >= self.last_time() {
+            self.finish(End::Partial(self.timeout_reason()), cx);
             return;
         }
         if self.waiter.is_some() {
@@ -288,7 +294,7 @@
     }
 
     /// Returns when [`Query::tick`] must be called next: at the next check, the
-    /// deadline or the objective, whichever is first.
+    /// deadline, the end of the process or the objective, whichever is first.
     #[must_use]
     pub fn next_tick(&self) -> Time {
         let started = self.queued.is_empty() && self.waiter.is_none();
@@ -300,7 +306,7 @@
             Time::MAX
         };
         let check = self.next_check.min(self.shard_check);
-        check.min(self.config.deadline).min(objective)
+        check.min(self.last_time()).min(objective)
     }
 
     /// Returns the ids in the table's queue of the query or of its shards while they wait
--- a/crates/route/src/query/ordered.rs
+++ b/crates/route/src/query/ordered.rs
@@ -36,6 +36,10 @@
         let Some(id) = self.waiter else {
             return;
         };
+        if !self.can_finish(cx) {
+            self.finish(End::Partial(PartialReason::Stopping), cx);
+            return;
+        }
         let unavailable = self.unavailable(cx);
         let open = self.shards.len() - unavailable.len();
         if open == 0 || !self.has_min_coverage(open) {
@@ -86,7 +90,7 @@
         }
         request.demand.shards = Arc::new([self.shards[position].route]);
         request.demand.needed = 1;
-        request.until = self.config.deadline - HOP_ALLOWANCE;
+        request.until = self.last_time() - HOP_ALLOWANCE;
         request.cost = Cost(0);
         request.whole = false;
         match cx.table.arrive(&request, cx.now) {
--- a/crates/route/src/query/wait.rs
+++ b/crates/route/src/query/wait.rs
@@ -52,9 +52,13 @@
 impl<P> Query<P> {
     /// Makes the first calls if enough shards have capacity for minimum coverage; a
     /// query that needs a first answer makes only one. Otherwise queues the query
-    /// without calls, or ends it if it would wait too long: calls to the shards that
+    /// without calls, or ends it if it would wait too long or the process ends sooner: calls to the shards that
     /// have capacity would be wasted.
     pub(super) fn make_first_calls(&mut self, cx: &mut Context<'_>) {
+        if !self.can_finish(cx) {
+            self.finish(End::Partial(PartialReason::Stopping), cx);
+            return;
+        }
         if let Some(shortage) = self.shortage(cx) {
             self.enqueue(shortage, cx);
             return;
@@ -296,9 +300,9 @@
     }
 
     /// Defers a shard's call to `at` and moves the next check up to it. Does nothing if
-    /// that is too near the deadline.
+    /// that is too near the deadline or the end of the process.
     pub(super) fn defer_call(&mut self, position: usize, kind: CallKind, at: Time) {
-        if at + HOP_ALLOWANCE >= self.config.deadline {
+        if at + HOP_ALLOWANCE >= self.last_time() {
             return;
         }
         self.shards[position].deferred = Some(Deferred { at, kind });
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -7,7 +7,8 @@
 use chestnut_unit::{IndexVersion, Time};
 
 use crate::{
-    BudgetId, BudgetTotals, CallCounts, Class, DampedSplit, Estimate, ExtraBudget, Profile, Window,
+    BudgetId, BudgetTotals, CallCounts, Class, DampedSplit, Estimate, ExtraBudget, Profile,
+    Quantiles, Window,
     backend::{Backend, Guard, Ix, TableConfig},
     capacity::Queued,
     cold::ColdLimit,
@@ -340,6 +341,20 @@
         &self.profiles[class.index()]
     }
 
+    /// Records the duration of a query of `class`.
+    pub(crate) fn record_query(&mut self, class: Class, span: Duration) {
+        self.profiles[class.index()].queries.record(span);
+    }
+
+    /// Returns the shortest time in which the queries of some class are expected to end; `None`
+    /// if none of any class has ended.
+    #[must_use]
+    pub fn shortest_query_time(&self) -> Option<Duration> {
+        let known = self.profiles.iter().map(|profile| &profile.queries);
+        let known = known.filter(|queries| queries.count() > 0);
+        known.map(Quantiles::high).min()
+    }
+
     /// Returns the factor that scales a duration of `class` to the common unit: 1 with
     /// a single class, otherwise based on the class's median. Without it, a leaf that
     /// ran long calls of one class would look slower than one that ran short calls of
