chestnutd: a stop answers what runs, also after a second signal

What callers see: a query that lasts longer than the stop of its entry, and any that runs 5 s after a second SIGTERM, ends without an answer.

Cause, shown by two tests on the code before: `leave` waited a ttl and then the grace, and `close` another 5 s, after which connections were cut; a second signal skipped to the 5 s, and the help and the operating guide said so ("requests in flight are cut"). Queries knew nothing of the end.

Change: `Tier::leave` sets the process's `Lifetime` (ttl, its margin and the grace from the signal on). Queries, their admission and parts for peers follow it as in the entry of the platform; a submission's caller hears at the end that its fate is unknown, while its dispatch goes on to be handed over. The servers close until that moment. A second signal, SIGINT too, skips the ttl only; tickets are handed over as before.

Tests: blackbox `a_query_that_outlasts_a_stop_is_answered_at_its_end` and `a_further_signal_cuts_no_query_off`, both "Lost" before.

--- a/crates/cli/tests/blackbox/stops.rs
+++ b/crates/cli/tests/blackbox/stops.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use chestnut_fake::load::{self, LoadConfig, LoadReport};
+use chestnut_port::{HttpError, HttpReply};
 use nix::sys::signal::Signal;
+use serde_json::json;
 
 use crate::cluster::Cluster;
 
@@ -43,6 +45,68 @@
     assert_all_complete(&sending.await.unwrap().unwrap());
 }
 
+/// Sends a query to the first entry whose caller waits for half a minute.
+async fn patient_query(cluster: &Cluster) -> Result<HttpReply, HttpError> {
+    let wait = Duration::from_secs(30);
+    let body = json!({
+        "organisation": "galway", "service": "ladder", "call": "finals", "query": {"q": 1},
+        "deadline_ms": wait.as_millis() as u64,
+    });
+    let (to, body) = (cluster.callers(0), body.to_string().into());
+    let call = cluster
+        .http
+        .call("POST".parse().unwrap(), to, "/v1/query", body, wait);
+    call.await
+}
+
+/// Guards against a query that is cut off without an answer when it takes longer than the stop of its
+/// entry: its caller hears that it may have run. One that comes later is refused at once, not run.
+#[tokio::test]
+async fn a_query_that_outlasts_a_stop_is_answered_at_its_end() {
+    let mut cluster = Cluster::start_with("grace = \"1s\"").await;
+    cluster
+        .set_targets("ladder", "median_ms", json!(25_000))
+        .await;
+    let mut entry = cluster.entries[0].take().unwrap();
+    let stop = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        entry.signal(Signal::SIGTERM);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let later = patient_query(&cluster).await;
+        (later, entry.exits_cleanly().await)
+    };
+    let (reply, (later, exited)) = tokio::join!(patient_query(&cluster), stop);
+    for (reply, run) in [(reply, "partial"), (later, "not_run")] {
+        let reply = reply.expect("an answer");
+        let body = reply.json();
+        assert_eq!(reply.status, 503, "{body}");
+        assert_eq!(body["reason"], "not_ready", "{body}");
+        assert_eq!(body["run"], run, "{body}");
+    }
+    assert!(exited);
+}
+
+/// Guards against a further SIGTERM that cuts off what still runs.
+#[tokio::test]
+async fn a_further_signal_cuts_no_query_off() {
+    let mut cluster = Cluster::start_with("grace = \"20s\"").await;
+    cluster
+        .set_targets("ladder", "median_ms", json!(6500))
+        .await;
+    let mut entry = cluster.entries[0].take().unwrap();
+    let stop = async {
+        for _ in 0..2 {
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            entry.signal(Signal::SIGTERM);
+        }
+        entry.exits_cleanly().await
+    };
+    let (reply, exited) = tokio::join!(patient_query(&cluster), stop);
+    let reply = reply.expect("an answer");
+    assert_eq!(reply.status, 200, "{}", reply.json());
+    assert!(exited);
+}
+
 /// Guards against a request that fails while the entries are restarted one after the
 /// other, each when all are ready again.
 #[tokio::test]
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -7,10 +7,11 @@
 
 use chestnut_conf::Settings;
 use chestnut_log::Output;
+use chestnut_port::Signals;
 use chestnut_tier::{HttpServers, Ports, Tier};
 use clap::Parser;
 use slog::{Logger, info};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
 
 /// The daemon of an entry VM of chestnutpost.
 ///
@@ -19,7 +20,7 @@
 /// disk but its settings. SIGTERM and SIGINT start a planned stop: the entry
 /// removes itself from the list of addresses, hands its tickets to a successor,
 /// serves callers until their copies of the list have expired, and exits without
-/// aborting a request. A further SIGTERM makes it exit at once.
+/// aborting a request. After a further SIGTERM it exits as soon as nothing runs.
 #[derive(Parser)]
 #[command(name = "chestnutd", version, max_term_width = 90)]
 struct Args {
@@ -69,8 +70,7 @@
     }
 }
 
-/// Runs an entry until a planned stop has ended or a SIGTERM during it cuts it short.
-/// Fails if an address can't be bound, the entry can't start or signals can't be handled.
+/// Runs an entry until a planned stop has ended. Fails if an address can't be bound, the entry can't start or signals can't be handled.
 async fn serve(settings: Settings, log: Logger) -> Result<(), Box<dyn std::error::Error>> {
     let peers = settings.listen.peers;
     let ports = Ports::open(&settings)
@@ -84,26 +84,13 @@
     let (callers, operators) = (http.callers(), http.operators());
     info!(log, "fleet: {} listens", tier.member();
         "callers" => %callers, "operators" => %operators);
-    wait_for_stop(&tier).await?;
-    let mut second = signal(SignalKind::terminate())?;
+    let mut signals = Signals::open()?;
     tokio::select! {
-        () = tier.leave() => {}
-        _ = second.recv() => info!(log, "fleet: received another SIGTERM during the planned stop, exiting now"),
-    }
-    http.close().await;
-    tier.stop().await;
-    Ok(())
-}
-
-/// Waits for SIGTERM, SIGINT or an operator's request for a planned stop; doesn't start
-/// the stop.
-async fn wait_for_stop(tier: &Tier) -> std::io::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+        () = signals.stop() => {}
         () = tier.drain_requested() => {}
     }
+    tier.leave(signals.stop()).await;
+    http.close(tier.end().unwrap_or_else(Instant::now)).await;
+    tier.stop().await;
     Ok(())
 }
--- a/crates/port/src/signals.rs
+++ b/crates/port/src/signals.rs
@@ -16,6 +16,14 @@
 }
 
 impl Signals {
+    /// Waits for a signal to stop.
+    pub async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+
     /// Handles the signals from now on, in place of their default actions.
     ///
     /// # Errors
--- a/crates/scene/src/testbed/mod.rs
+++ b/crates/scene/src/testbed/mod.rs
@@ -232,7 +232,7 @@
             return;
         };
         let tier = running.tier.clone();
-        tier.leave().await;
+        tier.leave(std::future::pending()).await;
         tier.stop().await;
         self.kill(number);
     }
--- a/crates/tier/src/query.rs
+++ b/crates/tier/src/query.rs
@@ -10,11 +10,11 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use chestnut_conf::{CallKind, CallPolicy, OrgPolicy};
-use chestnut_flow::{AdmittedRequest, InFlightGuard, QueueId, TraceLevel, admit, run};
+use chestnut_flow::{AdmittedRequest, InFlightGuard, QueueId, TimeLeft, TraceLevel, admit, run};
 use chestnut_port::{SubAnswer, SubQuery};
 use chestnut_route::{
-    AdmitRequest, End, Failure, PartialReason, Query, QueryConfig, Refusal as TargetRefusal,
-    Routes, Sheddable,
+    AdmitRequest, Class, End, Failure, PartialReason, Query, QueryConfig, Refusal as TargetRefusal,
+    Repeat, Routes, Sheddable,
 };
 use chestnut_unit::{Execution, Reason, Share, Time};
 use slog::debug;
@@ -210,8 +210,19 @@
     let _permit = org_permit(shared, &request.organisation, &effective, policy)?;
     let deadline = deadline(shared, request.deadline, policy);
     let admission = admit_request(subject, policy, deadline);
-    let mut admitted = admit(&shared.runtime, &service, QueueId::default(), admission)
+    let time_left = time_left(shared, &service, deadline);
+    if !time_left.suffices() {
+        return Err(stopping());
+    }
+    let mut admitted = time_left
+        .bound(admit(
+            &shared.runtime,
+            &service,
+            QueueId::default(),
+            admission,
+        ))
         .await
+        .ok_or_else(stopping)?
         .map_err(|(reason, after)| Cause::not_run(reason, "at admission").after(after))?;
     if shared.runtime.trace > TraceLevel::None {
         debug!(shared.runtime.log, "admit: query of {} admitted", request.service;
@@ -236,6 +247,20 @@
     Ok((answer, policy.urgency))
 }
 
+/// Compares how long queries of a service take with what is left of the process.
+fn time_left<'a>(shared: &'a Shared, service: &Service, deadline: Time) -> TimeLeft<'a> {
+    let longest = deadline.since(shared.now());
+    let state = lock(&service.state);
+    let profile = state.table.profile(Class::default());
+    let expected = profile.query_time(Repeat::Idempotent, longest);
+    TimeLeft::new(&shared.runtime, deadline, expected)
+}
+
+/// The refusal of a query that has not run and can't be answered before the process ends.
+fn stopping() -> Cause {
+    Cause::not_run(Reason::NotReady, "this entry stops before an answer")
+}
+
 /// The best run of a query, and whether a call of any of its runs may have been
 /// executed. A later run without calls must not hide those of an earlier one.
 struct FanOut {
@@ -307,6 +332,7 @@
     let coverage = query.coverage();
     let reason = match query.end() {
         Some(End::Partial(PartialReason::Deadline)) => Reason::Deadline,
+        Some(End::Partial(PartialReason::Stopping)) => Reason::NotReady,
         _ if execution == Execution::NotRun => Reason::TargetRefused,
         _ => Reason::Incomplete,
     };
@@ -398,11 +424,15 @@
     )
     .await;
     if query.coverage().answered == 0 {
-        let lost = query.end() == Some(End::Partial(PartialReason::SnapshotLost));
-        return SubAnswer::Failed(match query.not_run() {
-            Some(_) if lost => Failure::Refused(TargetRefusal::NoSnapshot),
-            Some(_) => Failure::Refused(TargetRefusal::Shed),
-            None => Failure::Lost,
+        return SubAnswer::Failed(match (query.not_run(), query.end()) {
+            (Some(_), Some(End::Partial(PartialReason::SnapshotLost))) => {
+                Failure::Refused(TargetRefusal::NoSnapshot)
+            }
+            (Some(_), Some(End::Partial(PartialReason::Stopping))) => {
+                Failure::Refused(TargetRefusal::Draining)
+            }
+            (Some(_), _) => Failure::Refused(TargetRefusal::Shed),
+            (None, _) => Failure::Lost,
         });
     }
     SubAnswer::Parts {
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -1,8 +1,8 @@
 //! The HTTP servers of an entry.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, time::Duration};
 
-use tokio::{sync::watch, task::JoinHandle};
+use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 use crate::{
     callers, operators,
@@ -10,6 +10,8 @@
     web::{self, WebLimits},
 };
 
+/// Time after the last answer in which connections may still send theirs.
+const SEND_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of open operator connections.
 const MAX_OPERATOR_CONNECTIONS: usize = 256;
 /// Largest body of an edit in bytes, the size limit of the platform's objects.
@@ -20,7 +22,7 @@
 pub struct HttpServers {
     callers: SocketAddr,
     operators: SocketAddr,
-    shutdown: watch::Sender<bool>,
+    shutdown: watch::Sender<Option<Instant>>,
     servers: Vec<JoinHandle<()>>,
 }
 
@@ -45,7 +47,7 @@
             connections: MAX_OPERATOR_CONNECTIONS,
             ..limits
         };
-        let (shutdown, shutdown_rx) = watch::channel(false);
+        let (shutdown, shutdown_rx) = watch::channel(None);
         let mut http = Self {
             callers: callers.local_addr()?,
             operators: operators.local_addr()?,
@@ -77,10 +79,10 @@
         self.operators
     }
 
-    /// Stops accepting connections and waits, for a limited time, until each
-    /// open one has finished its request.
-    pub async fn close(mut self) {
-        self.shutdown.send_replace(true);
+    /// Stops accepting connections and waits until each open one has finished its request, but
+    /// no longer than [`SEND_TIME`] after `end`, when every request is answered.
+    pub async fn close(mut self, end: Instant) {
+        self.shutdown.send_replace(Some(end + SEND_TIME));
         for server in std::mem::take(&mut self.servers) {
             // A server that panicked has no connections left to close.
             let _ = server.await;
--- a/crates/tier/src/submit.rs
+++ b/crates/tier/src/submit.rs
@@ -90,7 +90,16 @@
         body: request.body,
         deadline: request.deadline.unwrap_or(DEFAULT_DEADLINE),
     };
-    let cause = match send_to_keeper(shared, submission).await {
+    let runtime = &shared.runtime;
+    let reply = tokio::select! {
+        biased;
+        reply = send_to_keeper(shared, submission) => reply,
+        // The dispatch may go on, but its caller must hear before the process ends.
+        () = runtime.lifetime.until_left(&runtime.clock, Duration::ZERO) => {
+            SubmitReply::Unknown(Reason::FateUnknown)
+        }
+    };
+    let cause = match reply {
         SubmitReply::Ran(answer) => {
             return Ok(SubmitOutcome {
                 request_id: subject.request,
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -1,6 +1,11 @@
 //! The handle of a running entry, with its start and its planned stop.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{
+    future::Future,
+    io,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use chestnut_conf::{ObjectKey, Settings};
@@ -13,7 +18,7 @@
 use tokio::{
     sync::mpsc,
     task::JoinSet,
-    time::{sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 use crate::{
@@ -40,6 +45,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Number of peers that get a leave message or an update directly.
 const LEAVE_FANOUT: usize = 32;
+/// Time after the end of a stop in which requests that were answered then may still end.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
 /// Time limit for writing the last refusal records at a stop.
 const RECORDS_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -219,11 +226,11 @@
         status::status(&self.shared)
     }
 
-    /// Drains the entry: it is no longer listed for callers, hands over its
-    /// tickets and answers the requests in flight. Waits up to the grace time
-    /// for dispatches, until the TTL of the list of entries has passed, then up
-    /// to the grace time for requests. Does nothing if it is leaving already.
-    pub async fn leave(&self) {
+    /// Begins a planned stop: the entry is no longer listed for callers and hands over its
+    /// tickets, after waiting up to the grace time for dispatches. Serves callers until the TTL
+    /// of the list of entries has passed, or until `again` is ready, a further request to stop.
+    /// [`Tier::end`] is set from the start. Does nothing if it is leaving already.
+    pub async fn leave(&self, again: impl Future<Output = ()>) {
         let shared = &self.shared;
         let entered = shared.phase.send_if_modified(|phase| {
             let serving = *phase < Phase::Leaving;
@@ -235,28 +242,41 @@
         if !entered {
             return;
         }
-        info!(shared.runtime.log, "fleet: {} is leaving", shared.own.id);
-        let started = shared.now();
+        let control = &shared.settings.control;
+        let listed_until = shared.now() + control.ttl + TTL_MARGIN;
+        let end = listed_until + control.grace;
+        shared.runtime.lifetime.end_at(end);
+        info!(shared.runtime.log, "fleet: {} is leaving", shared.own.id;
+            "left_ms" => end.since(shared.now()).as_millis() as u64);
         lock(&shared.swim).leave(None);
         announce(shared).await;
         hand_over_tickets(shared).await;
-        let ttl = shared.settings.control.ttl;
-        sleep(ttl.saturating_sub(shared.now().since(started)) + TTL_MARGIN).await;
-        let grace = shared.settings.control.grace;
-        let drained = timeout(grace, wait_until_idle(shared)).await;
-        if drained.is_err() {
-            warn!(
-                shared.runtime.log,
-                "fleet: requests are still in flight after {grace:?}"
-            );
-        }
+        let why = tokio::select! {
+            () = sleep_until(shared.runtime.clock.instant(listed_until)) => "lists have expired",
+            () = again => "asked to stop again",
+        };
+        info!(shared.runtime.log, "fleet: {} closes", shared.own.id; "why" => why,
+            "in_flight" => shared.in_flight.load(Ordering::Relaxed),
+            "left_ms" => end.since(shared.now()).as_millis() as u64);
     }
 
-    /// Stops the entry after [`Tier::leave`]: writes the last refusal records,
-    /// within a time limit, and sends leave messages. The tasks end when the
-    /// last handle is dropped.
+    /// When every request is answered, once a planned stop has begun.
+    #[must_use]
+    pub fn end(&self) -> Option<Instant> {
+        let runtime = &self.shared.runtime;
+        runtime.lifetime.end().map(|end| runtime.clock.instant(end))
+    }
+
+    /// Stops the entry after [`Tier::leave`]: finishes what runs, until [`Tier::end`] at most,
+    /// writes the last refusal records, within a time limit, and sends leave messages. The tasks
+    /// end when the last handle is dropped.
     pub async fn stop(&self) {
         let shared = &self.shared;
+        let end = self.end().unwrap_or_else(Instant::now) + ANSWER_TIME;
+        if timeout_at(end, wait_until_idle(shared)).await.is_err() {
+            warn!(shared.runtime.log, "fleet: requests are still in flight at the end of the stop";
+                "in_flight" => shared.in_flight.load(Ordering::Relaxed));
+        }
         if timeout(RECORDS_TIMEOUT, records::write_last(shared))
             .await
             .is_err()
@@ -366,8 +386,7 @@
 
 /// Waits until no request is in flight, without a time limit.
 async fn wait_until_idle(shared: &Shared) {
-    let ordering = std::sync::atomic::Ordering::Relaxed;
-    while shared.in_flight.load(ordering) > 0 {
+    while shared.in_flight.load(Ordering::Relaxed) > 0 {
         sleep(DRAIN_POLL).await;
     }
 }
--- a/crates/tier/src/web.rs
+++ b/crates/tier/src/web.rs
@@ -18,7 +18,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, watch},
-    time::timeout,
+    time::{Instant, timeout, timeout_at},
 };
 
 /// An HTTP response with a complete body.
@@ -26,8 +26,6 @@
 
 /// Backoff after a failed accept, usually for lack of file descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-/// Time limit for the graceful shutdown of connections.
-const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Limits of one HTTP listener.
 #[derive(Clone, Copy, Debug)]
@@ -131,13 +129,13 @@
         .map(|(_, value)| value)
 }
 
-/// Serves HTTP/1.1 and HTTP/2 on `listener` until `closing` is true, then shuts
-/// the connections down gracefully, for a limited time. Connections beyond the
+/// Serves HTTP/1.1 and HTTP/2 on `listener` until `closing` holds a time, then shuts
+/// the connections down gracefully, until that time at most. Connections beyond the
 /// limit are closed at once.
 pub(crate) async fn serve<H, F>(
     listener: TcpListener,
     limits: WebLimits,
-    mut closing: watch::Receiver<bool>,
+    mut closing: watch::Receiver<Option<Instant>>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
@@ -148,7 +146,7 @@
     loop {
         let accepted = tokio::select! {
             biased;
-            _ = closing.wait_for(|closing| *closing) => break,
+            _ = closing.wait_for(Option::is_some) => break,
             accepted = listener.accept() => accepted,
         };
         let Ok((stream, _)) = accepted else {
@@ -169,7 +167,8 @@
         });
     }
     drop(listener);
-    let _ = timeout(SHUTDOWN_TIMEOUT, graceful.shutdown()).await;
+    let until = closing.borrow().unwrap_or_else(Instant::now);
+    let _ = timeout_at(until, graceful.shutdown()).await;
 }
 
 /// Sets up the HTTP service of one connection with the limits of its listener;
