Planned stops: a hedge is made if it may still end, and a second stop keeps the first end

From reading the change again. A hedge adds no request that could be cut off, the call that is late is under way already; asking for 99 in 100 of the durations kept back some that could rescue it, and its own check against the end stands. A stop that is begun twice takes the end that holds, the earlier one, instead of its own.

--- a/crates/flow/src/lifetime.rs
+++ b/crates/flow/src/lifetime.rs
@@ -32,8 +32,9 @@
         *self.end.borrow()
     }
 
-    /// Begins a planned stop that ends at `end`. During a stop, the earlier end holds.
-    pub fn end_at(&self, end: Time) {
+    /// Begins a planned stop that ends at `end`, and returns its end: in a stop that has begun
+    /// already the earlier one holds.
+    pub fn end_at(&self, end: Time) -> Time {
         self.end.send_if_modified(|known| {
             let sooner = known.is_none_or(|known| end < known);
             if sooner {
@@ -41,6 +42,7 @@
             }
             sooner
         });
+        self.end().unwrap_or(end)
     }
 
     /// Returns a receiver that is told of the end.
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -50,7 +50,7 @@
     pub async fn leave(&self) -> Stop<Serving> {
         let shared = self.shared();
         let end = shared.now() + self.grace().saturating_sub(EXIT_RESERVE);
-        shared.runtime.lifetime.end_at(end);
+        let end = shared.runtime.lifetime.end_at(end);
         shared.phase.send_replace(Phase::Leaving);
         info!(shared.runtime.log, "fleet: {} is leaving", shared.settings.entry.member;
             "in_flight" => self.in_flight(), "left_ms" => millis(end.since(shared.now())));
--- a/crates/route/src/query/calls.rs
+++ b/crates/route/src/query/calls.rs
@@ -97,10 +97,10 @@
 
     /// Chooses a replica for each shard and makes one call per chosen replica.
     /// Shards whose replicas lack capacity or whose call is not paid for are
-    /// deferred; a shard without a replica gets no call, and none gets one that the process
-    /// can't wait for.
+    /// deferred; a shard without a replica gets no call. None gets one that would outlast the
+    /// process, except for a hedge, which may still be faster than the call that is late.
     pub(super) fn call(&mut self, positions: &[usize], kind: CallKind, cx: &mut Context<'_>) {
-        if !self.can_finish_call(cx) {
+        if kind != CallKind::Hedge && !self.can_finish_call(cx) {
             return;
         }
         let mut plan: BTreeMap<Ix, Vec<usize>> = BTreeMap::new();
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -245,7 +245,7 @@
         let control = &shared.settings.control;
         let listed_until = shared.now() + control.ttl + TTL_MARGIN;
         let end = listed_until + control.grace;
-        shared.runtime.lifetime.end_at(end);
+        let end = shared.runtime.lifetime.end_at(end);
         info!(shared.runtime.log, "fleet: {} is leaving", shared.own.id;
             "left_ms" => end.since(shared.now()).as_millis() as u64);
         lock(&shared.swim).leave(None);
