--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -21,7 +21,7 @@
 };
 
 /// Classes of calls, one per rule; further rules share the first one. The limit bounds memory.
-/// Classes of removed rules are reused, or edits would use them all up. A class costs some 30
+/// Classes of removed rules are reused, or edits would use them all up. A class costs some 60
 /// KB.
 const MAX_CLASSES: usize = 64;
 /// Weight of every owner's share of the capacity.
