Admission: a slot handed to a request whose caller leaves goes to the next

Cause: the slot is handed over by a message, and a request dropped before it read the message took it for received. The guard of a waiting request owns the receiver now and passes an unread decision to run on, under the lock under which decisions are sent.

--- a/crates/flow/src/admission.rs
+++ b/crates/flow/src/admission.rs
@@ -42,12 +42,14 @@
     }
 }
 
-/// A queued request. Dropping it takes the request out of the queue, unless its
-/// decision was delivered already.
+/// A queued request. Dropping it takes the request out of the queue. If its decision to run
+/// was sent but not received, its slot goes to the next request.
 struct QueueGuard<'a, X> {
+    runtime: &'a Runtime,
     cell: &'a Cell<X>,
     queue: QueueId,
     id: RequestId,
+    decision: oneshot::Receiver<Decision>,
 }
 
 impl<X> Drop for QueueGuard<'_, X> {
@@ -55,6 +57,17 @@
         let mut state = lock(&self.cell.state);
         if state.waiting.remove(&self.id).is_some() {
             state.queue(self.queue).remove_queued(self.id);
+            return;
+        }
+        // Decisions are sent under the lock, so none can come after this.
+        if self.decision.try_recv() == Ok(Decision::Run) {
+            let now = self.runtime.now();
+            let mut rng = self.runtime.rng();
+            let mut out = Vec::new();
+            state
+                .queue(self.queue)
+                .release_slot(now, &mut rng, &mut out);
+            state.deliver(self.queue, out, now, &mut rng);
         }
     }
 }
@@ -121,14 +134,16 @@
     cell: &Cell<X>,
     queue: QueueId,
     request: AdmitRequest,
-    mut receiver: oneshot::Receiver<Decision>,
+    decision: oneshot::Receiver<Decision>,
 ) -> Decision {
     /// Minimum time between two checks of the queue for overdue requests.
     const MIN_RECHECK: Duration = Duration::from_millis(1);
-    let _guard = QueueGuard {
+    let mut guard = QueueGuard {
+        runtime,
         cell,
         queue,
         id: request.id,
+        decision,
     };
     loop {
         let next_expiry = lock(&cell.state).queue(queue).next_expiry();
@@ -137,7 +152,7 @@
             .max(runtime.now() + MIN_RECHECK);
         tokio::select! {
             biased;
-            decision = &mut receiver => {
+            decision = &mut guard.decision => {
                 return decision.unwrap_or(Decision::Refuse {
                     reason: Reason::NotReady,
                     after: Duration::from_secs(1),
