--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! scenario could not run. `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod copies;
 mod entry;
 mod freeze;
 mod http;
@@ -34,6 +35,7 @@
     let record = Arc::new(Record::open(Path::new(path)));
     let outcome = match scenario.as_str() {
         "freeze" => freeze::run(trouble, &record),
+        "copies" => copies::run(trouble, &record),
         "stray" => stray::run(trouble, &record),
         _ => Outcome::CannotRun(format!("no scenario {scenario}")),
     };
--- a/review/standin-2/stray.rs
+++ b/review/standin-2/stray.rs
@@ -19,6 +19,8 @@
 const ENTRIES: usize = 3;
 const LEAFS: usize = 6;
 const CONNECTIONS: usize = 4;
+/// Requests that a leaf runs at once.
+const SLOTS: u32 = 6;
 const SPAN: Duration = Duration::from_secs(20);
 /// One in this many answers of the faulty leafs, half of all, is followed by an extra one: four
 /// in a hundred.
@@ -50,15 +52,20 @@
 }
 
 pub fn run(trouble: bool, record: &Arc<Record>) -> Outcome {
+    play(record, CONNECTIONS, SLOTS, |at| if trouble && at % 2 == 0 { faulty() } else { sound() })
+}
+
+/// Plays requests of an `unsafe` route over `connections` to each entry, with leafs that answer as
+/// `answer` says, and checks that none runs twice or is refused as not run although it ran.
+pub fn play(record: &Arc<Record>, connections: usize, slots: u32, answer: impl Fn(usize) -> Answer) -> Outcome {
     let dir = entry::TempDir::new();
     let store = Store::start();
     let runs: Runs = Runs::default();
     store.put("config", "main", Some(CONFIG));
     let zones = ["dub-a", "dub-b", "kdr-c"];
     for at in 0..LEAFS {
-        let answer = if trouble && at % 2 == 0 { faulty() } else { sound() };
-        let leaf = Leaf::start(&format!("i-{at:08x}"), Duration::from_millis(20), &runs, record, answer);
-        store.put("servers", &leaf.id, Some(&leaf.spec("archive", zones[at % 3], 6)));
+        let leaf = Leaf::start(&format!("i-{at:08x}"), Duration::from_millis(20), &runs, record, answer(at));
+        store.put("servers", &leaf.id, Some(&leaf.spec("archive", zones[at % 3], slots)));
     }
     let Some(entries) = entry::start(ENTRIES, store.address, &dir.0) else {
         return Outcome::CannotRun("the entries did not get ready".to_owned());
@@ -69,7 +76,7 @@
     let statuses: Arc<Mutex<BTreeMap<String, u16>>> = Arc::default();
     let mut threads = Vec::new();
     for entry in &entries {
-        for _ in 0..CONNECTIONS {
+        for _ in 0..connections {
             let (address, name) = (entry.callers, entry.name.clone());
             let (numbers, statuses, record) = (numbers.clone(), statuses.clone(), record.clone());
             threads.push(thread::spawn(move || {
@@ -101,7 +108,11 @@
         record.line(&format!("TWICE: {id} ran at {}; its client got {status}", leafs.join(" and ")));
     }
     let refused = statuses.iter().filter(|(id, status)| matches!(status, 408 | 421 | 429 | 503) && times.contains_key(*id));
-    let refused = refused.count();
+    let refused: Vec<_> = refused.collect();
+    for (id, status) in &refused {
+        record.line(&format!("REFUSED: {id} ran at {}; its client got {status}", times[*id].join(" and ")));
+    }
+    let refused = refused.len();
     record.say(&format!("{} requests sent, {} ran, {} of them more than once, {refused} of them refused as not run", statuses.len(), times.len(), twice.len()));
     match !twice.is_empty() || refused > 0 {
         true => Outcome::Broken,
