--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,4 +2,4 @@
 # Plays the scenario once; exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/main ] && [ -x target/release/chestnut-entry ] || exit 2
-exec target/review-2/main stray "review/4/record.txt"
+exec target/review-2/main fraction "review/4/record.txt"
--- a/review/standin-2/entry.rs
+++ b/review/standin-2/entry.rs
@@ -7,11 +7,13 @@
 use std::time::{Duration, Instant};
 
 use crate::client::Client;
+use crate::template::{self, Values};
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
+pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGKILL: i32 = 9;
 pub const SIGCONT: i32 = 18;
@@ -26,7 +28,9 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
-    settings: PathBuf,
+    pub settings: PathBuf,
+    /// The values for the settings template, without `graceS`.
+    values: Values,
     log: PathBuf,
     child: Option<Child>,
 }
@@ -78,8 +82,43 @@
     )
 }
 
+/// The values of a small deployment for the settings template, as JSON, without `graceS`.
+fn values(name: &str, zone: &str, ip: Ipv4Addr, seeds: &[Ipv4Addr], store: SocketAddr) -> Values {
+    let quoted = |text: &str| format!("\"{text}\"");
+    let at = |port: u16| quoted(&format!("{ip}:{port}"));
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:8224\"")).collect();
+    let list = [
+        ("seeds", format!("[{}]", seeds.join(","))),
+        ("nodeName", quoted(name)),
+        ("zone", quoted(zone)),
+        ("ip", quoted(&ip.to_string())),
+        ("limits.cpuQuota", "0.25".to_owned()),
+        ("limits.linkMbps", "1000.0".to_owned()),
+        ("limits.maxFds", "4100".to_owned()),
+        ("listen.frontend", at(8226)),
+        ("listen.readiness", at(8227)),
+        ("listen.directory", at(8225)),
+        ("listen.control", at(8224)),
+        ("platform.address", quoted(&store.to_string())),
+        ("bounds.retryRatio", "0.2".to_owned()),
+        ("bounds.retrySlack", "52".to_owned()),
+        ("bounds.retryWindowS", "10".to_owned()),
+        ("bounds.drainMs", "3000".to_owned()),
+    ];
+    list.into_iter().map(|(name, value)| (name.to_owned(), value)).collect()
+}
+
 /// Starts `count` entries and waits until all are ready; `None` if they aren't in time.
 pub fn start(count: usize, store: SocketAddr, dir: &Path) -> Option<Vec<Entry>> {
+    start_with(count, store, dir, None)
+}
+
+/// Like [`start`], with the settings template of the deploy file and this `graceS`.
+pub fn start_from_template(count: usize, store: SocketAddr, dir: &Path, grace: &str) -> Option<Vec<Entry>> {
+    start_with(count, store, dir, Some(grace))
+}
+
+fn start_with(count: usize, store: SocketAddr, dir: &Path, grace: Option<&str>) -> Option<Vec<Entry>> {
     let ips = addresses(count);
     if ips.len() < count {
         return None;
@@ -94,16 +133,23 @@
             let path = dir.join(format!("{name}.toml"));
             fs::write(&path, settings(&name, zone, *ip, seeds, store)).expect("settings can be written");
             let at = |port| SocketAddr::new(IpAddr::V4(*ip), port);
+            let name_of = name.clone();
             Entry {
                 log: dir.join(format!("{name}.log")),
                 name,
                 callers: at(8226),
                 readiness: at(8227),
                 settings: path,
+                values: values(&name_of, zone, *ip, seeds, store),
                 child: None,
             }
         })
         .collect();
+    if let Some(grace) = grace {
+        for entry in &entries {
+            fs::write(&entry.settings, entry.filled(grace)).expect("settings can be written");
+        }
+    }
     entries.iter_mut().for_each(Entry::start);
     let end = Instant::now() + Duration::from_secs(15);
     while !entries.iter().all(Entry::is_ready) {
@@ -128,6 +174,21 @@
         self.child = child.ok();
     }
 
+    /// The settings template of the deploy file, filled in with this `graceS`.
+    pub fn filled(&self, grace: &str) -> String {
+        let template = fs::read_to_string("deploy/entry.toml").expect("the settings template");
+        let mut values = self.values.clone();
+        values.insert("bounds.graceS".to_owned(), grace.to_owned());
+        template::fill(&template, &values)
+    }
+
+    /// How the process ended, if it has.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
     pub fn is_ready(&self) -> bool {
         let mut client = Client::new(self.readiness, Duration::from_millis(500));
         client.send("GET", "/ready", "ready.example", &[], b"").is_ok_and(|answer| answer.status == 200)
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,12 +5,14 @@
 mod client;
 mod copies;
 mod entry;
+mod fraction;
 mod freeze;
 mod http;
 mod leaf;
 mod record;
 mod store;
 mod stray;
+mod template;
 
 use std::path::Path;
 use std::process::exit;
@@ -34,6 +36,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(Record::open(Path::new(path)));
     let outcome = match scenario.as_str() {
+        "fraction" => fraction::run(trouble, &record),
         "freeze" => freeze::run(trouble, &record),
         "copies" => copies::run(trouble, &record),
         "stray" => stray::run(trouble, &record),
