--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -13,6 +13,7 @@
 mod store;
 mod stray;
 mod template;
+mod weights;
 
 use std::path::Path;
 use std::process::exit;
@@ -39,6 +40,7 @@
         "fraction" => fraction::run(trouble, &record),
         "freeze" => freeze::run(trouble, &record),
         "copies" => copies::run(trouble, &record),
+        "weights" => weights::run(trouble, &record),
         "stray" => stray::run(trouble, &record),
         _ => Outcome::CannotRun(format!("no scenario {scenario}")),
     };
