--- a/review/standin-2/leaf.rs
+++ b/review/standin-2/leaf.rs
@@ -16,13 +16,13 @@
     pub at: Instant,
     pub id: String,
     pub leaf: String,
-    pub tenant: String,
 }
 
 pub type Runs = Arc<Mutex<Vec<Run>>>;
 
 /// How a leaf answers; the default is a sound leaf.
-pub type Answer = Arc<dyn Fn(&Leaf, &Head, &[u8], &mut TcpStream, &mut Reader, usize) -> bool + Send + Sync>;
+pub type Answer =
+    Arc<dyn Fn(&Leaf, &Head, &[u8], &mut TcpStream, &mut Reader, usize) -> bool + Send + Sync>;
 
 pub struct Leaf {
     pub id: String,
@@ -35,7 +35,13 @@
 impl Leaf {
     /// Starts a leaf. `answer` handles a request, given its number on its connection, and tells
     /// whether the connection is kept.
-    pub fn start(id: &str, work: Duration, runs: &Runs, record: &Arc<Record>, answer: Answer) -> Arc<Self> {
+    pub fn start(
+        id: &str,
+        work: Duration,
+        runs: &Runs,
+        record: &Arc<Record>,
+        answer: Answer,
+    ) -> Arc<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let leaf = Arc::new(Self {
             id: id.to_owned(),
@@ -79,13 +85,17 @@
             }
             if head.get("expect-instance").is_some_and(|id| id != self.id) {
                 let headers = format!("Instance-Id: {}\r\n", self.id);
-                let Some(_) = http::read_body(&mut reader, &head) else { return };
+                let Some(_) = http::read_body(&mut reader, &head) else {
+                    return;
+                };
                 if !http::respond(&mut out, "421 Misdirected Request", &headers, b"") {
                     return;
                 }
                 continue;
             }
-            let Some(body) = http::read_body(&mut reader, &head) else { return };
+            let Some(body) = http::read_body(&mut reader, &head) else {
+                return;
+            };
             if !answer(self, &head, &body, &mut out, &mut reader, number) {
                 return;
             }
@@ -97,8 +107,13 @@
     pub fn run(&self, head: &Head) {
         let get = |name| head.get(name).unwrap_or("-").to_owned();
         let (id, tenant) = (get("request-id"), get("tenant"));
-        self.record.line(&format!("leaf {} runs {id} of {tenant}", self.id));
-        let run = Run { at: Instant::now(), id, leaf: self.id.clone(), tenant };
+        self.record
+            .line(&format!("leaf {} runs {id} of {tenant}", self.id));
+        let run = Run {
+            at: Instant::now(),
+            id,
+            leaf: self.id.clone(),
+        };
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.work);
     }
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -14,7 +14,10 @@
 impl Record {
     pub fn open(path: &Path) -> Self {
         let file = File::create(path).expect("record.txt can be written");
-        Self { start: Instant::now(), file: Mutex::new(file) }
+        Self {
+            start: Instant::now(),
+            file: Mutex::new(file),
+        }
     }
 
     pub fn line(&self, text: &str) {
--- a/review/standin-2/template.rs
+++ b/review/standin-2/template.rs
@@ -24,7 +24,10 @@
         let name = &text[start + 2..end];
         let value = match name.strip_suffix("|json") {
             Some(name) => values.get(name).cloned().unwrap_or_default(),
-            None => values.get(name).map(|value| plain(value)).unwrap_or_default(),
+            None => values
+                .get(name)
+                .map(|value| plain(value))
+                .unwrap_or_default(),
         };
         text = format!("{}{value}{}", &text[..start], &text[end + 2..]);
     }
--- a/review/standin-2/weights.rs
+++ b/review/standin-2/weights.rs
@@ -38,11 +38,21 @@
     let runs: Runs = Runs::default();
     let old = r#","#.to_owned()
         + r#"{"name":"r-2","host":"fizi45.example","pathPrefix":"/bale901/","type":"safe","timeoutMs":5000,"goalMs":800,"priority":2,"service":"archive","attempts":2}"#;
-    store.put("config", "main", Some(&config(7, r#""service":"archive""#, &old)));
+    store.put(
+        "config",
+        "main",
+        Some(&config(7, r#""service":"archive""#, &old)),
+    );
     let zones = ["dub-a", "dub-b", "kdr-c"];
     for (number, service) in SERVICES.iter().enumerate() {
         for at in 0..3 {
-            let leaf = Leaf::start(&format!("i-{service}-{number}{at}"), Duration::from_millis(10), &runs, record, sound());
+            let leaf = Leaf::start(
+                &format!("i-{service}-{number}{at}"),
+                Duration::from_millis(10),
+                &runs,
+                record,
+                sound(),
+            );
             store.put("servers", &leaf.id, Some(&leaf.spec(service, zones[at], 6)));
         }
     }
@@ -71,7 +81,9 @@
         return Outcome::CannotRun("not all requests were served before".to_owned());
     }
     let (first, second) = if trouble { ("0.7", "0.3") } else { ("7", "3") };
-    let split = format!(r#""split":[{{"service":"archive-new","weight":{first}}},{{"service":"members","weight":{second}}}]"#);
+    let split = format!(
+        r#""split":[{{"service":"archive-new","weight":{first}}},{{"service":"members","weight":{second}}}]"#
+    );
     store.put("config", "main", Some(&config(9, &split, "")));
     record.line(&format!("the store has acknowledged version 9: /rano592/ is split by {first} and {second}, /bale901/ is dropped"));
     thread::sleep(APPLY);
@@ -80,10 +92,14 @@
     let runs = runs.lock().unwrap();
     let ran_at = |id: &str, service: &str| {
         let prefix = format!("i-{service}-0");
-        runs.iter().any(|run| run.id == id && run.leaf.starts_with(&prefix))
+        runs.iter()
+            .any(|run| run.id == id && run.leaf.starts_with(&prefix))
     };
     let stale = moved.iter().filter(|(id, _)| ran_at(id, "archive")).count();
-    let revived = dropped.iter().filter(|(id, _)| ran_at(id, "archive")).count();
+    let revived = dropped
+        .iter()
+        .filter(|(id, _)| ran_at(id, "archive"))
+        .count();
     let new = moved.iter().filter(|(_, status)| *status == 200).count() - stale;
     record.say(&format!(
         "sent over 4 s after the acknowledgement: {} on the moved route, {stale} of them run by the old service, {new} by the new ones; {} on the dropped route, {revived} of them run",
