Settings: numbers are read in every form, so a fraction keeps no entry down

Cause: the settings template writes the bound before its unit, and parse_duration took digits only; 6.0s and 1e3ms were refused as well, and files = 4100.0. A running entry keeps its settings, so it shows at a start.

Change: chestnut_unit::Number reads what JSON and TOML allow. Durations go through it, fractions kept to the nanosecond; descriptors are rounded down. Negative, not finite, true or too large: refused, with key and value. NaN no longer passes as a number of cores, nor a ttl that callers would be told as 0.

--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -9,7 +9,7 @@
 use crate::ColdLimits;
 use chestnut_conf::{LogSettings, SettingsError, duration, read_settings};
 use chestnut_route::RateMargins;
-use chestnut_unit::{DomainName, MemberId, Share};
+use chestnut_unit::{DomainName, MemberId, Share, number};
 use serde::Deserialize;
 
 /// The settings file of one relay entry.
@@ -59,6 +59,7 @@
     /// Bandwidth of its network link, in megabits per second.
     pub link: f64,
     /// File descriptors that it may have open.
+    #[serde(deserialize_with = "number::floor::deserialize")]
     pub files: usize,
 }
 
@@ -286,8 +287,10 @@
                 fix,
             })
         };
-        if self.entry.cores <= 0.0 || self.entry.link <= 0.0 {
-            let problem = "cores and link must be positive".to_owned();
+        let is_positive = |number: f64| number.is_finite() && number > 0.0;
+        if !is_positive(self.entry.cores) || !is_positive(self.entry.link) {
+            let (cores, link) = (self.entry.cores, self.entry.link);
+            let problem = format!("cores {cores} and link {link} must be positive");
             return fail("entry", problem, "Write cores and link above 0.");
         }
         if self.entry.files < FILES_MIN {
@@ -308,7 +311,8 @@
         }
         let in_range = |number: f64| (0.0..=SLACK_MAX).contains(&number);
         if !in_range(self.cold.over) || !in_range(self.cold.slack) {
-            let problem = "over or slack is out of range".to_owned();
+            let (over, slack) = (self.cold.over, self.cold.slack);
+            let problem = format!("over {over} or slack {slack} is out of range");
             return fail("cold", problem, "Write over and slack from 0 to 1000000.");
         }
         let RateMargins {
@@ -325,7 +329,7 @@
             );
         }
         if !in_range(over) || !in_range(slack) {
-            let problem = "over or slack is out of range".to_owned();
+            let problem = format!("over {over} or slack {slack} is out of range");
             return fail("limits", problem, "Write over and slack from 0 to 1000000.");
         }
         if !(0.0..=1.0).contains(&self.overload.max_wait) {
@@ -336,8 +340,12 @@
             let problem = format!("{:?} is too short to finish requests", self.times.grace);
             return fail("times.grace", problem, "Write a span of 1s or more.");
         }
-        if self.times.ttl.is_zero() {
-            let problem = "with 0, callers would ask for addresses before each call".to_owned();
+        if self.times.ttl < TTL_MIN {
+            let problem = format!(
+                "{:?} is too short: callers are told whole seconds, and with 0 \
+                they would ask for addresses before each call",
+                self.times.ttl
+            );
             return fail("times.ttl", problem, "Write a span such as 2s.");
         }
         if self.listen.callers == self.listen.readiness {
@@ -358,5 +366,7 @@
 const SLACK_MAX: f64 = 1e6;
 /// Shortest `limits.window`, in seconds.
 const WINDOW_MIN: f64 = 0.1;
+/// Shortest `times.ttl`, the least that callers are told.
+const TTL_MIN: Duration = Duration::from_secs(1);
 /// Shortest `times.grace`: other entries and callers have to learn of the stop.
 const GRACE_MIN: Duration = Duration::from_secs(1);
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -17,6 +17,7 @@
 mod coverage;
 mod id;
 mod lock;
+pub mod number;
 mod rate_limit;
 mod reason;
 mod revision;
@@ -32,6 +33,7 @@
     ServiceName, ShardName, TemplateName,
 };
 pub use lock::lock;
+pub use number::{Ceil, Floor, Millis, Number, NumberError, Seconds, Whole};
 pub use rate_limit::RateLimit;
 pub use reason::{Execution, Reason};
 pub use revision::{Epoch, ParseRevisionError, Revision};
--- a/crates/unit/src/size.rs
+++ b/crates/unit/src/size.rs
@@ -5,6 +5,8 @@
 use displaydoc::Display;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+use crate::Number;
+
 /// {text:?} is not {want}
 #[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub struct ParseUnitError {
@@ -95,28 +97,27 @@
     }
 }
 
-/// Parses a duration written `52ms`, `18s`, `5m` or `1h`.
+/// Parses a duration written `52ms`, `6.5s`, `5m` or `1h`. The number may have any form of JSON.
 ///
 /// # Errors
 ///
-/// The text is not an integer with one of these units, or the value overflows.
+/// The text is not a number with one of these units, or it is negative or too long.
 pub fn parse_duration(text: &str) -> Result<Duration, ParseUnitError> {
-    const FORMAT: &str = "a duration such as 52ms, 18s, 5m or 1h";
-    let (number, unit) = split_unit(text, FORMAT)?;
-    let factor: u64 = match unit.as_str() {
+    const FORMAT: &str = "a duration such as 52ms, 6.5s, 5m or 1h";
+    let fail = || ParseUnitError {
+        text: text.to_owned(),
+        want: FORMAT,
+    };
+    let number = text.trim_end_matches(|c: char| c.is_ascii_alphabetic());
+    let unit_ms = match &text[number.len()..] {
         "ms" => 1,
         "s" => 1000,
         "m" => 60_000,
         "h" => 3_600_000,
-        _ => 0,
+        _ => return Err(fail()),
     };
-    match number.checked_mul(factor) {
-        Some(ms) if factor > 0 => Ok(Duration::from_millis(ms)),
-        _ => Err(ParseUnitError {
-            text: text.to_owned(),
-            want: FORMAT,
-        }),
-    }
+    let number: Number = number.trim_end().parse().map_err(|_| fail())?;
+    number.times(unit_ms).map_err(|_| fail())
 }
 
 /// Serializes a type with `Display` and deserializes it with `FromStr`.
@@ -159,6 +160,15 @@
         Self((calls * MILLI_PER_CALL).round() as u32)
     }
 
+    /// Makes a rate that is not above `calls` per second, but for one that is too small: a positive
+    /// rate never becomes 0, which may stand for no limit.
+    #[must_use]
+    pub fn at_most(calls: f64) -> Self {
+        // The cast saturates and turns NaN into 0.
+        let milli = (calls * MILLI_PER_CALL).floor() as u32;
+        Self(milli.max(u32::from(calls > 0.0)))
+    }
+
     /// Returns the rate in calls per second.
     #[must_use]
     pub fn as_f64(self) -> f64 {
