Configuration: numbers are read in every form, weights in their proportions

Cause: the decoder took most numbers as unsigned integers, so one fraction, or 7.0, or 1e3, made the whole configuration unreadable.

Change: each number of a configuration, a registration and a revision is read through chestnut_unit::Number. Times keep fractions, counts are rounded down, versions, revisions, starts and capacities must be whole in whatever form. Weights become whole numbers in the same proportions (whole_weights). Unsound numbers are refused with field and value; negative rates were taken for none.

New: the log names the field, and the metric book_unreadable is 1 meanwhile (test an_unreadable_version_is_told, failed before).

--- a/crates/book/src/lib.rs
+++ b/crates/book/src/lib.rs
@@ -38,6 +38,7 @@
 mod organisation;
 mod round_robin;
 mod rule;
+mod weights;
 
 pub use book::{BookError, BookVersion, RouteBook};
 pub use delta::{BookDelta, DeltaError};
@@ -45,3 +46,4 @@
 pub use organisation::{KeyDigest, Organisation, Organisations, ParseDigestError};
 pub use round_robin::RoundRobin;
 pub use rule::{CallerLimits, ColdRule, RetrySafety, Rule, ServiceRule, Target};
+pub use weights::whole_weights;
--- a/crates/book/src/rule.rs
+++ b/crates/book/src/rule.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use chestnut_unit::{CallRate, ServiceName, Share};
+use chestnut_unit::{CallRate, Number, ServiceName, Share};
 use serde::{Deserialize, Serialize};
 
+use crate::whole_weights;
+
 /// Whether a request may be sent to another target after a first one may have
 /// run it: yes if `Idempotent`, no if `Once`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,6 +37,12 @@
 }
 
 impl Target {
+    /// Makes a split of services, each with its weight.
+    pub fn split(parts: impl IntoIterator<Item = (ServiceName, Number)>) -> Self {
+        let (services, weights): (Vec<_>, Vec<_>) = parts.into_iter().unzip();
+        Self::Split(services.into_iter().zip(whole_weights(&weights)).collect())
+    }
+
     /// Iterates over all services named by the target.
     pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
         let (one, split, shards) = match self {
@@ -98,6 +106,15 @@
     pub span: Duration,
 }
 
+impl ColdRule {
+    /// Makes a limit of so many calls per second; `None` for a rate of 0, which is no limit.
+    #[must_use]
+    pub fn new(per_second: Number, span: Duration) -> Option<Self> {
+        let rate = CallRate::at_most(per_second.as_f64());
+        (rate > CallRate::default()).then_some(Self { rate, span })
+    }
+}
+
 /// Limits on callers: size and receiving time of a request head, size of a body, and
 /// idle time of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -22,6 +22,7 @@
 )]
 #[rustfmt::skip]
 mod feed_capnp;
+mod decode;
 mod feed_rpc;
 mod feed_serve;
 mod forward;
@@ -52,6 +53,7 @@
 mod wire;
 
 pub use clock::Clock;
+pub use decode::{decode, decode_secret};
 pub use feed::{Batch, Content, Feed, FeedError, Freshness, Item};
 pub use feed_rpc::{EncodedBatch, EncodedDelta, FeedRpc, FeedService, Heartbeat, PeerFeed};
 pub use forward::{Forward, ForwardedRequest, LeafCall, LeafFailure, LeafReply, Listening};
--- a/crates/relay/src/apply.rs
+++ b/crates/relay/src/apply.rs
@@ -293,7 +293,9 @@
     for item in batch.items {
         let book = match item.content {
             Content::Value(book) => book,
-            Content::Deleted | Content::Malformed => {
+            unusable @ (Content::Deleted | Content::Malformed) => {
+                let is_unreadable = matches!(unusable, Content::Malformed);
+                shared.metrics.book_unreadable.set(i64::from(is_unreadable));
                 warn!(
                     shared.runtime.log,
                     "watch: the book was deleted or can't be read, the last one stays in force"
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -146,6 +146,7 @@
     pub(crate) evacuated_calls: Gauge,
     /// Version of the route book in force.
     pub(crate) book_version: Gauge,
+    pub(crate) book_unreadable: Gauge,
     /// Milliseconds since a newer book was first reported; 0 if the book is current.
     book_behind: Gauge,
     /// Restores of the store from an older copy that this entry noticed.
@@ -198,6 +199,7 @@
             evacuated: Gauge::default(),
             evacuated_calls: Gauge::default(),
             book_version: Gauge::default(),
+            book_unreadable: Gauge::default(),
             book_behind: Gauge::default(),
             restores: Counter::default(),
             epoch: Gauge::default(),
@@ -254,6 +256,9 @@
             "Version in force",
             self.book_version.clone(),
         );
+        let unreadable =
+            "1 while the store's newest book can't be read, at entries that read it there";
+        r.register("book_unreadable", unreadable, self.book_unreadable.clone());
         let behind = "Milliseconds since a peer told of a newer version, 0 if none has";
         r.register(
             "upstream_moves",
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -229,6 +229,7 @@
         lock(&self.feed_copies.books).put(book);
         drop(state);
         self.metrics.book_version.set(version.0 as i64);
+        self.metrics.book_unreadable.set(0);
         let mut propagation = lock(&self.propagation);
         let lag = propagation.installed(version, now).unwrap_or_default();
         self.metrics.set_book_behind(propagation.lag(now));
--- a/crates/unit/src/lib.rs
+++ b/crates/unit/src/lib.rs
@@ -33,7 +33,7 @@
     ServiceName, ShardName, TemplateName,
 };
 pub use lock::lock;
-pub use number::{Ceil, Floor, Millis, Number, NumberError, Seconds, Whole};
+pub use number::{Ceil, Floor, LeastShare, Millis, Number, NumberError, Seconds, Whole};
 pub use rate_limit::RateLimit;
 pub use reason::{Execution, Reason};
 pub use revision::{Epoch, ParseRevisionError, Revision};
--- a/crates/unit/src/number.rs
+++ b/crates/unit/src/number.rs
@@ -17,6 +17,8 @@
 use displaydoc::Display;
 use serde::{Deserialize, Deserializer, de};
 
+use crate::Share;
+
 /// Milliseconds in a second.
 const MILLIS_PER_SECOND: f64 = 1000.0;
 /// Above this number not every whole number has a floating-point form of its own.
@@ -290,6 +292,21 @@
     seconds
 );
 
+/// A fraction from 0 to 1 that is to be reached, rounded up to thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeastShare(pub Share);
+
+impl<'de> Deserialize<'de> for LeastShare {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let number = Number::deserialize(from)?;
+        if number.as_f64() > 1.0 {
+            return Err(de::Error::custom(NumberError::TooLarge(number, 1)));
+        }
+        let permille = (number.as_f64() * 1000.0).ceil();
+        Ok(Self(Share::from_permille(permille as u16)))
+    }
+}
+
 /// Serde format of a whole number in any form, as that of a [`Whole`].
 pub mod whole {
     use serde::{Deserialize, Deserializer};
