Limits: a home fills by the part of the members that follows it

Change: a home whose organisation has used over half of its bucket asks a random member of each failure domain ten times a second whom it takes for the home, and fills low buckets by the part that names it. Fractions of homes that exclude each other add up to one, whatever each side has noticed.

In the fake of peers an entry that is taken now reaches no other for tokens either: before, only calls to it failed, which is no cut. In limits_model entries that are probed look at the members when that is due, as those that get requests did.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 #![warn(clippy::unwrap_used)]
 
 mod confirm;
+mod contact;
 mod entries;
 mod gossip;
 mod homes;
@@ -29,6 +30,7 @@
 mod view;
 
 pub use confirm::{Confirmation, LastConfirmed};
+pub use contact::Contact;
 pub use entries::{Entry, order_entries};
 pub use gossip::GossipQueue;
 pub use homes::Homes;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod book_fetch;
 mod callers;
 mod cold;
+mod contact;
 mod evacuations;
 mod feed_server;
 mod feed_watch;
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -7,12 +7,13 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Mutex, time::Duration};
 
 use chestnut_book::Organisation;
-use chestnut_fleet::{Homes, Reach};
+use chestnut_fleet::{Contact, Homes, Reach};
 use chestnut_flow::lock;
 use chestnut_route::{
     Allowances, Ask, Grant, Granters, OrgUse, RateHome, RateMargins, Take, Token, TokenReply,
 };
-use chestnut_unit::{MemberId, OrgName, RateLimit, Time, WallTime};
+use chestnut_unit::{DomainName, MemberId, OrgName, RateLimit, Time, WallTime};
+use rand::{Rng, seq::IndexedRandom};
 use slog::debug;
 use tokio::time::timeout;
 
@@ -49,6 +50,9 @@
     was_starting_home: bool,
     peers: BTreeMap<MemberId, SocketAddr>,
     reach: Reach,
+    /// The part of the live members that answers, and their addresses by failure domain.
+    contact: Contact,
+    domains: BTreeMap<DomainName, Vec<SocketAddr>>,
     /// Address of this entry for its peers, and those of the seeds in order.
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
@@ -69,6 +73,8 @@
 pub(crate) struct HomeView {
     /// The homes, among the members that are alive and accept work.
     pub(crate) homes: Homes,
+    /// Addresses for peers of the others of these members, by failure domain.
+    pub(crate) domains: BTreeMap<DomainName, Vec<SocketAddr>>,
     /// Addresses for peers of these members.
     pub(crate) peers: BTreeMap<MemberId, SocketAddr>,
     /// All members that are not stopped by plan, and whether each is alive.
@@ -90,6 +96,8 @@
             was_starting_home: false,
             peers: BTreeMap::new(),
             reach: Reach::default(),
+            contact: Contact::default(),
+            domains: BTreeMap::new(),
             own,
             seeds,
             any_limit: false,
@@ -141,6 +149,10 @@
         state.peers = view.peers;
         let members = view.members.iter().map(|(id, alive)| (id, *alive));
         state.reach.update(members, now);
+        let counts = view.domains.iter();
+        let counts = counts.map(|(domain, members)| (domain.clone(), members.len()));
+        state.contact.update(counts);
+        state.domains = view.domains;
         // Members that have run long enough by now are looked for here too: a bucket of an
         // organisation that asks much later holds what has come since.
         let changed = state.homes != view.homes;
@@ -150,6 +162,37 @@
         }
     }
 
+    /// Returns an organisation that asks for most of its limit at this entry as its home, if there
+    /// is one.
+    pub(crate) fn pressed(&self, now: Time) -> Option<OrgName> {
+        lock(&self.state).home.pressed(now).cloned()
+    }
+
+    /// Returns up to `most` random live members of each failure domain.
+    pub(crate) fn probe_targets(
+        &self,
+        most: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<(DomainName, SocketAddr)> {
+        let state = lock(&self.state);
+        let mut targets = Vec::new();
+        for (domain, members) in &state.domains {
+            let sample = members.sample(rng, most);
+            targets.extend(sample.map(|to| (domain.clone(), *to)));
+        }
+        targets
+    }
+
+    /// Records whether a member of a failure domain answered a probe.
+    pub(crate) fn probed(&self, domain: &DomainName, answered: bool, now: Time) {
+        lock(&self.state).contact.probed(domain, answered, now);
+    }
+
+    /// Returns the part of the live members that answers.
+    pub(crate) fn reached(&self, now: Time) -> f64 {
+        lock(&self.state).contact.fraction(now)
+    }
+
     /// The organisations that asked at this entry, with what became of their requests, the
     /// `most` that asked most; and the sum of the others.
     pub(crate) fn usage(&self, most: usize) -> (Vec<(OrgName, OrgUse)>, OrgUse) {
@@ -420,6 +463,9 @@
 
 /// Answers a peer that takes this entry for the home of an organisation.
 pub(crate) fn grant_to_peer(shared: &Shared, org: &OrgName, ask: Ask) -> TokenReply {
+    if ask == Ask::PROBE {
+        return TokenReply::Elsewhere(believed_address(shared, org));
+    }
     let book = lock(&shared.cell.state).extra.book.clone();
     let organisations = book.as_ref().and_then(|book| book.organisations());
     let organisation = organisations.and_then(|orgs| orgs.get(org));
@@ -445,6 +491,8 @@
     }
     match state.home_of(org, own, now, wall) {
         Home::Own => {
+            let followers = state.contact.fraction(now);
+            state.home.set_followers(followers);
             let share = state.reach.share(store_lost, now);
             TokenReply::Granted(state.home.grant(org, limit, share, ask, now))
         }
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -184,8 +184,15 @@
         let peers = working().map(|member| (member.id.clone(), member.addresses.peers));
         let members = swim.view.all().filter(|member| !member.leaving);
         let members = members.map(|member| (member.id.clone(), alive(member)));
+        let own = &swim.view.own().id;
+        let mut domains: BTreeMap<DomainName, Vec<SocketAddr>> = BTreeMap::new();
+        for member in working().filter(|member| member.id != *own) {
+            let domain = domains.entry(member.domain.clone()).or_default();
+            domain.push(member.addresses.peers);
+        }
         HomeView {
             homes,
+            domains,
             peers: peers.collect(),
             members: members.collect(),
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -20,6 +20,7 @@
     adverts::{self, Adverts},
     book_fetch,
     cold::{self, LeaseStore},
+    contact,
     feed_server::FeedServer,
     feed_watch,
     feeds::{Feeds, PeerFeeds},
@@ -117,6 +118,7 @@
         tasks.spawn(book_fetch::run(shared.clone(), feeds.clone()));
         let peers = feeds.peers.clone();
         tasks.spawn(restore::run(shared.clone(), members.clone(), feeds));
+        tasks.spawn(contact::run(shared.clone(), peers.clone()));
         tasks.spawn(adverts::discover(
             shared.clone(),
             members.clone(),
--- a/crates/relay/tests/limits_model.rs
+++ b/crates/relay/tests/limits_model.rs
@@ -5,9 +5,9 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use chestnut_fleet::{Homes, Reach};
+use chestnut_fleet::{Contact, Homes, Reach};
 use chestnut_route::{Allowances, Ask, Grant, RateHome, RateMargins, Take};
-use chestnut_unit::{MemberId, OrgName, RateLimit, Time, WallTime};
+use chestnut_unit::{DomainName, MemberId, OrgName, RateLimit, Time, WallTime};
 use gossip::{Event, Gossip};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -46,6 +46,8 @@
     notices: Option<Time>,
     allowances: Allowances,
     home: RateHome,
+    /// Which part of the members answers its probes.
+    contact: Contact,
 }
 
 struct World {
@@ -59,6 +61,8 @@
     reach: [Reach; 2],
     /// Part of the home's answers to others that come too late.
     late: f64,
+    /// When homes probe next.
+    next_probe: Time,
     ran: Vec<Time>,
     refused: usize,
     asks: usize,
@@ -82,6 +86,7 @@
             notices: None,
             allowances: Allowances::new(MARGINS),
             home: RateHome::new(MARGINS, Time::ZERO),
+            contact: Contact::default(),
         };
         let entries: Vec<Entry> = (0..count).map(entry).collect();
         let numbers = entries.iter().enumerate();
@@ -94,12 +99,16 @@
             truth: [None, None],
             reach: [Reach::default(), Reach::default()],
             late: 0.0,
+            next_probe: Time::ZERO,
             ran: Vec::new(),
             refused: 0,
             asks: 0,
         };
         for n in 0..count {
             world.notice(n);
+            let of_domain = count / DOMAINS;
+            let members = (0..DOMAINS).map(|domain| (domain_name(domain), of_domain));
+            world.entries[n].contact.update(members);
         }
         world
     }
@@ -214,6 +223,7 @@
             entry.joined = joined;
         }
         let lost_for = entry.store_lost.map(|since| now.since(since));
+        entry.home.set_followers(entry.contact.fraction(now));
         let share = entry.seen.reach.share(lost_for, now);
         let grant = entry.home.grant(&self.org, limit, share, ask, now);
         let is_late = home != n && self.rng.random_bool(self.late);
@@ -251,6 +261,41 @@
         }
     }
 
+    /// Lets homes that are pressed probe a member of each failure domain, and three more of one
+    /// that is silent.
+    fn probe(&mut self) {
+        if self.now < self.next_probe {
+            return;
+        }
+        self.next_probe = self.now + PROBE_INTERVAL;
+        let now = self.now;
+        for n in 0..self.entries.len() {
+            if !self.entries[n].up || self.entries[n].home.pressed(now).is_none() {
+                continue;
+            }
+            for domain in 0..DOMAINS {
+                let mut most = 1;
+                let mut probes = 0;
+                while probes < most {
+                    probes += 1;
+                    let of_domain = self.entries.len() / DOMAINS;
+                    let to = self.rng.random_range(0..of_domain) * DOMAINS + domain;
+                    if self.entries[to].notices.is_some_and(|at| at <= now) {
+                        self.notice(to);
+                    }
+                    let (asked, own) = (&self.entries[to], &self.entries[n]);
+                    let answered =
+                        asked.up && asked.side == own.side && self.home_of(to) == Some(n);
+                    if !answered {
+                        most = 4;
+                    }
+                    let domain = domain_name(domain);
+                    self.entries[n].contact.probed(&domain, answered, now);
+                }
+            }
+        }
+    }
+
     /// Requests at `per_s`, at random times, through the first `serving` entries, for `seconds`.
     fn load(&mut self, per_s: f64, limit: RateLimit, serving: usize, seconds: f64) {
         let end = self.now + Duration::from_secs_f64(seconds);
@@ -258,6 +303,7 @@
             let gap = -self.rng.random::<f64>().max(1e-12).ln() / per_s;
             self.now = self.now + Duration::from_secs_f64(gap);
             let n = (self.rng.next_u64() % serving as u64) as usize;
+            self.probe();
             self.request(n, limit, serving);
         }
     }
@@ -278,6 +324,15 @@
     }
 }
 
+/// Failure domains of the entries, in turn.
+const DOMAINS: usize = 3;
+/// Time between two probes of a home.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+
+fn domain_name(domain: usize) -> DomainName {
+    DomainName::new(format!("domain-{domain}")).unwrap()
+}
+
 fn bound(limit: RateLimit) -> f64 {
     limit.over(Duration::from_secs_f64(MARGINS.window)) * (1.0 + MARGINS.over) + MARGINS.slack
 }
@@ -369,6 +424,40 @@
     assert!(served as f64 >= 0.9 * rate * 8.0, "{served}");
 }
 
+/// Guards against a home that grants the whole limit while entries on the other side of a
+/// partition go on with their part: a failure domain is cut off, with its access to the store,
+/// some time after an organisation has begun to ask for ten times its limit. The burst comes on top.
+#[rstest]
+fn the_sum_holds_while_a_domain_is_cut_off_under_a_hot_organisation(
+    #[values(18, 81, 984)] count: usize,
+    #[values(0.0, 1.0, 2.0, 4.0)] hot: f64,
+    #[values(2.0, 5.0, 12.0)] cut: f64,
+    #[values(0.4, 0.9)] part: f64,
+) {
+    let limit = RateLimit::new(67.0, 85.0).unwrap();
+    let through = serving(count);
+    let mut worst = 0;
+    for seed in 0..6 {
+        let mut world = World::new(count, seed);
+        world.now = Time::ZERO + Duration::from_secs(14);
+        world.load(limit.rate * part, limit, through, 8.0);
+        world.load(limit.rate * 7.5 * part, limit, through, hot);
+        let domain = seed as usize % DOMAINS;
+        for n in (domain..count).step_by(DOMAINS) {
+            world.entries[n].side = 1;
+        }
+        world.changed();
+        world.load(limit.rate * 7.5 * part, limit, through, cut);
+        for entry in &mut world.entries {
+            entry.side = 0;
+        }
+        world.changed();
+        world.load(limit.rate * 7.5 * part, limit, through, 8.0);
+        worst = worst.max(world.most_in_window(Time::ZERO));
+    }
+    assert!(worst as f64 <= bound(limit), "{worst} of {}", bound(limit));
+}
+
 /// Guards against two sides of a partition that both grant the whole limit, whether or not they
 /// have noticed that they are apart.
 #[rstest]
--- a/crates/relay/tests/organisations.rs
+++ b/crates/relay/tests/organisations.rs
@@ -269,6 +269,39 @@
     );
 }
 
+/// Guards against a home that is cut off, with its access to the store, and grants the whole limit
+/// while the others go on with what they were granted: an organisation has just used its burst.
+/// One of the entries is its home.
+#[tokio::test(start_paused = true)]
+async fn the_limit_holds_while_an_entry_is_cut_off_under_a_hot_organisation() {
+    let limit = RateLimit::new(67.0, 85.0).unwrap();
+    let bound = limit.over(WINDOW) * (1.0 + OVER) + SLACK;
+    for n in 1..=6 {
+        let (cluster, relays) = limited(limit, 6).await;
+        load(&relays, 40.0, Duration::from_secs(8)).await;
+        let address = peer_address(n);
+        let cut = async {
+            sleep(Duration::from_secs(1)).await;
+            cluster.net.isolate(&[address]);
+            let service = cluster.feeds.take(address);
+            sleep(Duration::from_secs(5)).await;
+            cluster.net.isolate(&[]);
+            cluster.feeds.put_back(address, service);
+        };
+        let loading = load(&relays, 500.0, Duration::from_secs(10));
+        let ((ran, _), ()) = tokio::join!(loading, cut);
+        let most = most_in_window(&ran);
+        assert!(most as f64 <= bound, "entry {n}: {most} of {bound}");
+        // Most of the limit runs: what the cut holds back is less than the burst.
+        let due = limit.rate * 10.0;
+        assert!(
+            ran.len() as f64 >= 0.9 * due,
+            "entry {n}: {} of {due}",
+            ran.len()
+        );
+    }
+}
+
 /// Guards against tokens that are lost with requests that did not run: they leave the limit to
 /// others.
 #[tokio::test(start_paused = true)]
--- a/crates/relay/tests/world/net.rs
+++ b/crates/relay/tests/world/net.rs
@@ -336,6 +336,11 @@
         ask: Ask,
     ) -> BoxFuture<'a, Result<TokenReply, FeedError>> {
         async move {
+            // An entry that was taken is cut off: it reaches no other either.
+            if self.2.is_some_and(|own| !lock(&self.0).contains_key(&own)) {
+                sleep(IDLE_TIMEOUT).await;
+                return Err(FeedError::Unavailable("cut off".to_owned()));
+            }
             let grant = self.service(to).await?.tokens(org, ask);
             self.transfer(to, ANSWER_OVERHEAD).await?;
             Ok(grant)
--- a/crates/route/src/rate/bucket.rs
+++ b/crates/route/src/rate/bucket.rs
@@ -60,6 +60,11 @@
         self.tokens += 1.0;
     }
 
+    /// Whether it holds fewer than `tokens`.
+    pub(crate) fn is_below(&self, tokens: f64) -> bool {
+        self.tokens < tokens
+    }
+
     /// Seconds until a whole token is there, at `rate` per second.
     pub(crate) fn wait(&self, rate: f64) -> f64 {
         (1.0 - self.tokens).max(0.0) / rate
--- a/crates/route/src/rate/home.rs
+++ b/crates/route/src/rate/home.rs
@@ -15,6 +15,11 @@
     pub used: u32,
 }
 
+impl Ask {
+    /// Asks for nothing but an answer.
+    pub const PROBE: Self = Self { want: 0, used: 0 };
+}
+
 /// Answer of an organisation's home to a request for tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Grant {
@@ -40,6 +45,10 @@
 const MAX_DELAY: Duration = Duration::from_secs(2);
 /// How long a former home keeps what it has left, which has mostly drained by then.
 pub(super) const HOLD_TIME: Duration = Duration::from_secs(5);
+/// Part of its capacity below which a bucket is low.
+const LOW_SHARE: f64 = 0.5;
+/// How long an organisation counts as asking for most of its limit.
+const PRESSED_TIME: Duration = Duration::from_secs(1);
 /// Buckets above which those that are full again are dropped before one is added.
 const MAX_BUCKETS: usize = 10_000;
 
@@ -72,6 +81,10 @@
     /// Whether such buckets have tokens at their start: the slack covers those of few changes
     /// of the home in a window.
     has_start: bool,
+    /// The organisation whose bucket was last found low, and when.
+    low: Option<(OrgName, Time)>,
+    /// The part of the members that takes this entry for the home, from 0 to 1.
+    followers: f64,
 }
 
 impl RateHome {
@@ -84,9 +97,25 @@
             since: now,
             // The process before may have granted start tokens just now.
             has_start: false,
+            low: None,
+            followers: 1.0,
         }
     }
 
+    /// Replaces the part of the members that takes this entry for the home, from 0 to 1. The
+    /// others are granted tokens elsewhere, or go on with what they were granted before.
+    pub fn set_followers(&mut self, part: f64) {
+        self.followers = part;
+    }
+
+    /// Returns an organisation that has asked for most of its limit just now, if one has: then it
+    /// matters which part of the members this entry grants for.
+    #[must_use]
+    pub fn pressed(&self, now: Time) -> Option<&OrgName> {
+        let (org, at) = self.low.as_ref()?;
+        (now.since(*at) < PRESSED_TIME).then_some(org)
+    }
+
     /// Replaces the margins, after a change of the settings.
     pub fn set_margins(&mut self, margins: RateMargins) {
         self.margins = margins;
@@ -117,23 +146,31 @@
         ask: Ask,
         now: Time,
     ) -> Grant {
-        let rate = limit.rate * share.clamp(f64::EPSILON, 1.0);
+        let whole = limit.rate * share.clamp(f64::EPSILON, 1.0);
         let capacity = (limit.burst + self.margins.slack * BURST_SHARE).max(1.0);
         if !self.buckets.contains_key(org) {
             let start = match self.has_start {
                 true => (self.margins.slack * START_SHARE * share).min(capacity),
                 false => 0.0,
             };
-            self.add(org, start, rate, capacity, now);
+            self.add(org, start, whole, capacity, now);
         }
         let entry = self.buckets.get_mut(org).expect("it was added");
         entry.set_former(false, now);
+        // An organisation that leaves most of its bucket stays below its limit on all sides.
+        let rate = match entry.bucket.is_below(capacity * LOW_SHARE) {
+            true => whole * self.followers.clamp(f64::EPSILON, 1.0),
+            false => whole,
+        };
         (entry.rate, entry.capacity) = (rate, capacity);
         entry.drain_rate = limit.rate;
         entry.bucket.fill(rate, capacity, now);
         let most = limit.over(Duration::from_secs_f64(self.margins.window));
         entry.bucket.charge(ask.used, most);
         let tokens = entry.bucket.take(ask.want);
+        if entry.bucket.is_below(capacity * LOW_SHARE) {
+            self.low = Some((org.clone(), now));
+        }
         let after = match tokens {
             0 => entry.delay(rate, now),
             _ => Duration::ZERO,
