Limits: probes are told in terms of followers

Comments, a name and the log line said answers where a member counts only if it takes the entry for the home. The metric book_unreadable gets its comment.

--- a/crates/relay/src/contact.rs
+++ b/crates/relay/src/contact.rs
@@ -2,9 +2,9 @@
 //!
 //! A partition leaves a home on one side and, on the other, entries that go on with what they
 //! were granted, until they choose a home of their own. Both sides together stay within a limit
-//! only if the home grants no more than the part of the members that it reaches, and the failure
-//! detector finds many lost members one by one. While an organisation asks for most of its limit
-//! here, some members of each failure domain are asked for a sign of life.
+//! only if each home grants for no more than the members that take it for the home, and the
+//! failure detector finds many lost members one by one. While an organisation asks for most of
+//! its limit here, some members of each failure domain are asked whom they take for the home.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -20,7 +20,7 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for an answer. A weak entry under load answers late, and is there.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-/// Further members of a failure domain that are probed at once if one gives no answer.
+/// Further members of a failure domain that are probed at once if one does not name this entry.
 const FURTHER_PROBES: usize = 3;
 
 /// A member to probe.
@@ -36,26 +36,26 @@
             continue;
         };
         let first = shared.limits.probe_targets(1, &mut shared.runtime.rng());
-        let silent = probe(&shared, &*peers, &org, first).await;
-        if !silent.is_empty() {
+        let lost = probe(&shared, &*peers, &org, first).await;
+        if !lost.is_empty() {
             let further = shared
                 .limits
                 .probe_targets(FURTHER_PROBES, &mut shared.runtime.rng());
             let further = further.into_iter();
-            let further = further.filter(|(domain, _)| silent.contains(domain));
+            let further = further.filter(|(domain, _)| lost.contains(domain));
             probe(&shared, &*peers, &org, further.collect()).await;
         }
         let fraction = shared.limits.reached(shared.now());
         if is_whole != (fraction >= 1.0) {
             is_whole = fraction >= 1.0;
-            info!(shared.runtime.log, "limit: the part of the members that answers has changed";
+            info!(shared.runtime.log, "limit: the part of the members that follows has changed";
                 "part" => fraction);
         }
     }
 }
 
-/// Probes these members together, records who answered, and returns the failure domains of those
-/// that did not.
+/// Probes these members together, records who names this entry as the home, and returns the failure
+/// domains of those that did not.
 async fn probe(
     shared: &Shared,
     peers: &dyn PeerFeeds,
@@ -65,9 +65,9 @@
     let probes = targets.into_iter().map(async |(domain, to)| {
         let answer = timeout(PROBE_TIMEOUT, peers.tokens(to, org, Ask::PROBE)).await;
         let own = shared.settings.listen.peers;
-        let answered = matches!(answer, Ok(Ok(TokenReply::Elsewhere(home))) if home == own);
-        shared.limits.probed(&domain, answered, shared.now());
-        (!answered).then_some(domain)
+        let follows = matches!(answer, Ok(Ok(TokenReply::Elsewhere(home))) if home == own);
+        shared.limits.probed(&domain, follows, shared.now());
+        (!follows).then_some(domain)
     });
     join_all(probes).await.into_iter().flatten().collect()
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -146,6 +146,7 @@
     pub(crate) evacuated_calls: Gauge,
     /// Version of the route book in force.
     pub(crate) book_version: Gauge,
+    /// 1 while the newest configuration that was read from the store is unreadable, else 0.
     pub(crate) book_unreadable: Gauge,
     /// Milliseconds since a newer book was first reported; 0 if the book is current.
     book_behind: Gauge,
