Names in the store are encoded in paths and queries, and lists move on or fail

What callers saw: an entry of another writer stood in the list of leafs under a name with one of & + # % or a blank, and the list was longer than a page. After a restart of all processes every request got 503. The same for evacuations and for the configuration.

Cause: the last name of a page became part of the next call's query as it was.

Change: paths and queries are built in crates/port/src/path.rs with the library percent-encoding. Pages that don't move on end a list with an error; an empty page with more behind it was taken for the end of the list before. A name longer than any value's need not fit into a request: the next page begins behind all that begin alike. Such names are no longer kept in memory, and 128 bytes of a name are logged.

Where else: objects written and deleted by name (a member named rack/7), chestnutd's platform client, its stand-in, the paths of operators at chestnutd, and chestnut's own calls (domains_are_evacuated_whatever_their_name: "no such path or method" before).

--- a/crates/cli/src/evacuate.rs
+++ b/crates/cli/src/evacuate.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use chestnut_conf::{Evacuation, ObjectKind};
+use chestnut_port::object_path;
 use chestnut_unit::DomainName;
 use hyper::Method;
 use serde_json::{Value, json};
@@ -21,7 +22,7 @@
     as_json: bool,
 ) -> Result<(), CliError> {
     let body = json!({ "spec": Evacuation { evacuated }, "by": by });
-    let path = format!("/objects/{}/{domain}", ObjectKind::Evacuation);
+    let path = object_path(ObjectKind::Evacuation.as_str(), domain.as_str());
     let body = Bytes::from(body.to_string());
     let reply = client.call(Method::PUT, &path, body).await?;
     if as_json {
@@ -52,7 +53,7 @@
         .flatten()
         .map(|(name, _)| name)
     {
-        let object = client.get(&format!("/objects/{kind}/{name}")).await?;
+        let object = client.get(&object_path(kind.as_str(), name)).await?;
         if object["spec"]["evacuated"] == true {
             evacuations.push((name.clone(), object));
         }
--- a/crates/cli/src/objects.rs
+++ b/crates/cli/src/objects.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use chestnut_conf::ObjectKind;
+use chestnut_port::{object_path, path_segment};
 use hyper::Method;
 use serde_json::{Value, json};
 
@@ -26,7 +27,7 @@
         Action::Get { name } => get(client, kind, &name, as_json).await,
         Action::Check { name, file } => {
             let body = json!({ "spec": read_json(&file)? });
-            let path = format!("/check/{kind}/{name}");
+            let path = format!("/check/{kind}/{}", path_segment(&name));
             let reply = send(client, Method::POST, &path, body).await?;
             print_reply(&reply, as_json, || format!("{}: good", file.display()));
             Ok(())
@@ -41,7 +42,7 @@
             let body = json!({
                 "spec": read_json(&file)?, "expected": expected, "edit": edit, "by": by,
             });
-            let path = format!("/objects/{kind}/{name}");
+            let path = object_path(kind.as_str(), &name);
             let reply = send(client, Method::PUT, &path, body).await?;
             print_reply(&reply, as_json, || {
                 format!("{kind} {name}: version {} is accepted", reply["version"])
@@ -93,7 +94,7 @@
 /// Prints the specification of an object; its version goes to standard error. With
 /// `as_json`, prints the whole reply instead.
 async fn get(client: &Client, kind: ObjectKind, name: &str, as_json: bool) -> Result<(), CliError> {
-    let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
+    let reply = client.get(&object_path(kind.as_str(), name)).await?;
     if as_json {
         print_line(reply);
     } else {
@@ -110,7 +111,7 @@
     name: &str,
     as_json: bool,
 ) -> Result<(), CliError> {
-    let reply = client.get(&format!("/objects/{kind}/{name}")).await?;
+    let reply = client.get(&object_path(kind.as_str(), name)).await?;
     if as_json {
         print_line(&reply["edits"]);
         return Ok(());
--- a/crates/cli/src/show.rs
+++ b/crates/cli/src/show.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 
 use bytes::Bytes;
+use chestnut_port::path_segment;
 use hyper::Method;
 use serde_json::Value;
 
@@ -99,7 +100,9 @@
 
 /// Prints the explanation of the refusal with this receipt: a sentence, then its details.
 pub(crate) async fn why(client: &Client, receipt: &str, as_json: bool) -> Result<(), CliError> {
-    let reply = client.get(&format!("/why/{receipt}")).await?;
+    let reply = client
+        .get(&format!("/why/{}", path_segment(receipt)))
+        .await?;
     if as_json {
         print_line(&reply);
         return Ok(());
--- a/crates/cli/tests/blackbox/evacuations.rs
+++ b/crates/cli/tests/blackbox/evacuations.rs
@@ -79,6 +79,23 @@
     assert!(reply.headers.contains_key("retry-after"));
 }
 
+/// Guards against an evacuation that can't be set, shown or ended, as the name of its domain has
+/// characters that separate the parts of a path.
+#[tokio::test]
+async fn domains_are_evacuated_whatever_their_name() {
+    let cluster = Cluster::start().await;
+    for domain in ["row/7", "../row", "..", "a:b"] {
+        let (status, text) = cluster.chestnut(0, &["evacuate", domain]).await;
+        assert_eq!(status, 0, "{domain}: {text}");
+        let (status, text) = cluster.chestnut(0, &["--json", "evacuations"]).await;
+        assert_eq!(status, 0, "{domain}: {text}");
+        let list: Value = serde_json::from_str(&text).unwrap();
+        assert_eq!(list["evacuated"][0]["domain"], domain, "{text}");
+        let (status, text) = cluster.chestnut(0, &["refill", domain]).await;
+        assert_eq!(status, 0, "{domain}: {text}");
+    }
+}
+
 /// Guards against an invalid domain name or evacuation that reaches the store.
 #[tokio::test]
 async fn an_invalid_domain_name_is_refused() {
--- a/crates/fake/src/platform.rs
+++ b/crates/fake/src/platform.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use chestnut_conf::{ObjectKey, ObjectKind};
-use chestnut_port::{Clock, PlatformError};
+use chestnut_port::{Clock, PlatformError, decode_segments};
 use chestnut_unit::lock;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn};
@@ -141,7 +141,10 @@
         Ok(body) => body.to_bytes(),
         Err(_) => return reply(StatusCode::BAD_REQUEST, &json!({ "error": "no body" })),
     };
-    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let Some(segments) = decode_segments(&path) else {
+        return not_found();
+    };
+    let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
     if parts.first() == Some(&"control") {
         return control(inner, &method, &parts, &body);
     }
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -31,6 +31,8 @@
 mod json;
 mod malformed;
 mod pack;
+mod pages;
+mod path;
 mod peer;
 #[expect(
     clippy::unwrap_used,
@@ -63,6 +65,8 @@
 pub use json::LeafAnswer;
 pub use malformed::{LoggedObjects, MalformedObject};
 pub use pack::{PackError, pack, unpack};
+pub use pages::{NAME_MAX, Pages};
+pub use path::{decode_segments, object_path, path_segment, query_value};
 pub use peer::{
     Dispatch, PeerError, PeerService, Peers, SubAnswer, SubQuery, Submission, SubmitReply,
 };
--- a/crates/port/src/malformed.rs
+++ b/crates/port/src/malformed.rs
@@ -8,6 +8,8 @@
 
 /// Bounds memory if a faulty writer stores ever new objects: beyond it all are forgotten.
 const LOGGED_MAX: usize = 1024;
+/// Bytes of a name that are logged and remembered; names of other writers have any length.
+const SHOWN_MAX: usize = 128;
 
 /// Identifies a malformed object, to log it once per change: by kind, name and revision, or by
 /// kind and a hash of its text if the name is malformed too.
@@ -19,12 +21,14 @@
 }
 
 impl MalformedObject {
-    /// Identifies a malformed object with a name at a revision of the store.
+    /// Identifies a malformed object with a name at a revision of the store, which changes one
+    /// object only. Of a long name the beginning is kept.
     #[must_use]
     pub fn named(kind: &'static str, name: &str, revision: u64) -> Self {
+        let shown = name.floor_char_boundary(SHOWN_MAX);
         Self {
             kind,
-            name: name.to_owned(),
+            name: name[..shown].to_owned(),
             change: revision,
         }
     }
--- a/crates/port/src/platform_http.rs
+++ b/crates/port/src/platform_http.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, de::DeserializeOwned};
 
-use crate::{Changes, HttpClient, HttpReply, Listing, Platform, PlatformError, Vm};
+use crate::{Changes, HttpClient, HttpReply, Listing, Platform, PlatformError, Vm, object_path};
 
 /// Added to a watch's wait time to get the timeout of its HTTP call.
 const WATCH_MARGIN: Duration = Duration::from_secs(2);
@@ -69,7 +69,7 @@
     /// Sends `GET /objects/KIND/NAME`.
     fn get(&self, key: ObjectKey) -> BoxFuture<'_, Result<Option<Object>, PlatformError>> {
         async move {
-            let path = object_path(&key);
+            let path = object_path(key.kind.as_str(), &key.name);
             let reply = self
                 .request(Method::GET, &path, Bytes::new(), self.timeout)
                 .await?;
@@ -94,7 +94,8 @@
         value: serde_json::Value,
     ) -> BoxFuture<'_, Result<u64, PlatformError>> {
         async move {
-            let path = format!("{}?if_version={expected}", object_path(&key));
+            let path = object_path(key.kind.as_str(), &key.name);
+            let path = format!("{path}?if_version={expected}");
             let body = Bytes::from(value.to_string());
             let reply = self.request(Method::PUT, &path, body, self.timeout).await?;
             let written: PutReply = parse(&reply)?;
@@ -130,11 +131,6 @@
     version: u64,
 }
 
-/// Returns the URL path of an object.
-fn object_path(key: &ObjectKey) -> String {
-    format!("/objects/{}/{}", key.kind, key.name)
-}
-
 /// Decodes a successful reply. Any other status is [`PlatformError::Refused`] with the
 /// body as its reason, and so is a body that can't be decoded.
 fn parse<T: DeserializeOwned>(reply: &HttpReply) -> Result<T, PlatformError> {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -54,6 +54,7 @@
 mod state;
 mod stop;
 mod store_status;
+mod stored_record;
 mod upstream;
 mod upstream_poll;
 mod watch_cache;
--- a/crates/tier/src/operators.rs
+++ b/crates/tier/src/operators.rs
@@ -2,6 +2,7 @@
 
 use chestnut_audit::{Batch, Receipt};
 use chestnut_conf::{ObjectKey, ObjectKind, StoredSpec};
+use chestnut_port::decode_segments;
 use hyper::{
     Method, Request, Response, StatusCode,
     body::Incoming,
@@ -35,8 +36,10 @@
 
 /// Handles one HTTP request of an operator; 404 for an unknown path or method.
 pub(crate) async fn handle(tier: Tier, limits: WebLimits, request: Request<Incoming>) -> Reply {
-    let path = request.uri().path().to_owned();
-    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let Some(segments) = decode_segments(request.uri().path()) else {
+        return web::error(StatusCode::NOT_FOUND, "no such path or method");
+    };
+    let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
     match (request.method().clone(), parts.as_slice()) {
         (Method::GET, ["metrics"]) => metrics(&tier),
         (Method::GET, ["healthz"]) => web::json(StatusCode::OK, r#"{"alive":true}"#),
