What callers make an entry hold is bounded by the memory of its machine

What callers saw: clients that stop a byte before the end of their bodies, or don't read long answers, and stay connected, make a process run out of memory; it ends with all its requests.

Cause: nothing bounded the sum over all connections, and each part of a body held the whole read buffer that it came in.

Those go first whose bytes times the time held are the most: 503 not run while the body is arriving, else the connection closes. A body of which nothing comes for the idle time gets 408.

Ruled out by runs: buffers that double (101 and 128 MB, holes in the heap); contiguous answers (110 MB mixed); room for an answer as it comes (it was itself the largest beside a young crowd).

--- a/crates/port/src/forward.rs
+++ b/crates/port/src/forward.rs
@@ -8,7 +8,7 @@
 use futures::future::BoxFuture;
 use hyper::{HeaderMap, Method, Response, header::HeaderValue, http::uri::PathAndQuery};
 
-use crate::Distance;
+use crate::{Client, Distance, Message};
 
 /// A caller's request in the form that is forwarded.
 #[derive(Clone, Debug)]
@@ -25,6 +25,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The client, for which the answers are held.
+    pub client: Client,
 }
 
 /// One call to one leaf.
@@ -53,7 +55,7 @@
 #[derive(Clone, Debug)]
 pub struct LeafReply {
     /// The status, the headers and the whole body.
-    pub response: Response<Bytes>,
+    pub response: Response<Message>,
     /// The leaf's signature of the response.
     pub signature: HeaderValue,
 }
--- a/crates/port/src/http_pool.rs
+++ b/crates/port/src/http_pool.rs
@@ -14,7 +14,7 @@
 use bytes::Bytes;
 use chestnut_unit::{LeafId, Time, lock};
 use displaydoc::Display;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -25,7 +25,8 @@
 use tokio::{net::TcpStream, task::AbortHandle, time::timeout};
 
 use crate::{
-    Clock, LeafCall, Listening, Purpose, TcpLiveness, Traffic, TrafficMeter, traffic::Metered,
+    Clock, LeafCall, Listening, Message, Purpose, ReceiveError, TcpLiveness, Traffic, TrafficMeter,
+    traffic::Metered,
 };
 
 /// Timeouts, body limit and TCP keep-alive of [`HttpPool`].
@@ -58,6 +59,10 @@
 /// request sent while it closes the connection may or may not have run.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Largest read buffer of a connection, and largest head of a response, in bytes. Each open
+/// connection keeps its buffer.
+const READ_BUFFER_MAX: usize = 64 << 10;
+
 /// Why an exchange returned no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 pub enum ExchangeError {
@@ -169,7 +174,7 @@
             }
             let sent = checkout.sender.try_send_request(request).await;
             match sent {
-                Ok(answer) => return self.read(checkout, answer).await,
+                Ok(answer) => return self.read(call, checkout, answer).await,
                 // The connection closed before anything was written.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if checkout.reused => request = unsent,
@@ -181,21 +186,23 @@
     }
 
     /// Reads the body of a response; [`ExchangeError::Lost`] if it is incomplete or larger
-    /// than the limit.
+    /// than the limit. Never returns if the call's client has to go, which drops the future.
     async fn read(
         &self,
+        call: &LeafCall,
         checkout: Checkout,
         answer: Response<Incoming>,
     ) -> Result<Exchange, ExchangeError> {
         let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, self.inner.config.max_body)
-            .collect()
-            .await
-            .map_err(|_| ExchangeError::Lost)?;
-        Ok(Exchange {
-            answer: Response::from_parts(parts, body.to_bytes()),
-            checkout,
-        })
+        let body = call.request.client.read(body, self.inner.config.max_body);
+        match body.await {
+            Ok(body) => Ok(Exchange {
+                answer: Response::from_parts(parts, body),
+                checkout,
+            }),
+            Err(ReceiveError::Evicted) => std::future::pending().await,
+            Err(_) => Err(ExchangeError::Lost),
+        }
     }
 
     /// Takes the connection released last from the pool, or opens one. Closes those it finds
@@ -258,7 +265,9 @@
             purpose: Purpose::Leafs,
             distance: call.distance,
         };
-        let (sender, conn) = http1::handshake(TokioIo::new(Metered::new(stream, meter)))
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX)
+            .handshake(TokioIo::new(Metered::new(stream, meter)))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -344,7 +353,7 @@
 /// request on the connection.
 pub struct Exchange {
     /// The response.
-    pub answer: Response<Bytes>,
+    pub answer: Response<Message>,
     checkout: Checkout,
 }
 
@@ -353,7 +362,7 @@
     /// leaf's pool was dropped since. It expires after the response's `Keep-Alive` timeout,
     /// or else the configured idle timeout, less half a second.
     #[must_use]
-    pub fn release(self) -> Response<Bytes> {
+    pub fn release(self) -> Response<Message> {
         let Self { answer, checkout } = self;
         let Checkout {
             sender, mut slot, ..
@@ -388,7 +397,7 @@
 
 /// Returns the `timeout` parameter (in seconds) of a response's `Keep-Alive` header;
 /// `None` if it is missing or invalid.
-fn keep_alive_timeout(answer: &Response<Bytes>) -> Option<Duration> {
+fn keep_alive_timeout(answer: &Response<Message>) -> Option<Duration> {
     let text = answer.headers().get(KEEP_ALIVE)?.to_str().ok()?;
     let seconds = text.split(',').find_map(|part| {
         let (key, value) = part.split_once('=')?;
--- a/crates/port/src/serve.rs
+++ b/crates/port/src/serve.rs
@@ -2,20 +2,19 @@
 //! and the time that a connection may be slow or idle.
 
 use std::{
+    collections::BTreeMap,
+    convert::Infallible,
     future::Future,
     io,
     net::SocketAddr,
     pin::Pin,
-    sync::{
-        Arc, Mutex, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex},
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use chestnut_unit::lock;
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -28,10 +27,13 @@
     net::{TcpListener, TcpStream},
     sync::watch,
     task::JoinHandle,
-    time::{Instant, Sleep, sleep, sleep_until},
+    time::{Instant, Sleep, sleep, sleep_until, timeout},
 };
 
-use crate::{Distance, Purpose, TcpLiveness, TrafficMeter, traffic::Metered};
+use crate::{
+    Client, ClientLoss, Distance, Memory, Purpose, ReceiveError, TcpLiveness, TrafficMeter,
+    memory::Charge, traffic::Metered,
+};
 
 /// Limits of a server on its clients: head size, timeouts and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +51,8 @@
 /// Delay after a failed accept, which is mostly caused by a lack of
 /// descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Time in which a caller that has to go can take the refusal of what it was sending.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Whether a server is open or closing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -59,6 +63,11 @@
     Closing,
 }
 
+/// The body of an answer, which is there as a whole.
+pub trait AnswerBody: Body<Data = Bytes, Error = Infallible> + Send + 'static {}
+
+impl<B: Body<Data = Bytes, Error = Infallible> + Send + 'static> AnswerBody for B {}
+
 /// An HTTP/1.1 server. Dropping it aborts all connections; [`Server::close`]
 /// shuts down gracefully.
 #[derive(Debug)]
@@ -66,7 +75,7 @@
     address: SocketAddr,
     stage: watch::Sender<Stage>,
     limits: watch::Sender<ServeLimits>,
-    open: Arc<AtomicUsize>,
+    open: Arc<Connections>,
     task: JoinHandle<()>,
 }
 
@@ -76,39 +85,46 @@
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind<H, F>(address: SocketAddr, limits: ServeLimits, handle: H) -> io::Result<Self>
+    pub async fn bind<H, F, B>(
+        address: SocketAddr,
+        limits: ServeLimits,
+        handle: H,
+    ) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: AnswerBody,
     {
         let meter = TrafficMeter {
             traffic: Arc::default(),
             purpose: Purpose::Callers,
             distance: Distance::Remote,
         };
-        Self::bind_metered(address, limits, meter, handle).await
+        Self::bind_metered(address, limits, meter, Memory::unlimited(), handle).await
     }
 
-    /// Like [`Server::bind`], and adds the bytes of all connections to
-    /// `meter`.
+    /// Like [`Server::bind`], and adds the bytes of all connections to `meter`. Each is a client
+    /// of `memory`, which is an extension of its requests, and ends when that has to go.
     ///
     /// # Errors
     ///
     /// Fails if the address can't be bound.
-    pub async fn bind_metered<H, F>(
+    pub async fn bind_metered<H, F, B>(
         address: SocketAddr,
         limits: ServeLimits,
         meter: TrafficMeter,
+        memory: Memory,
         handle: H,
     ) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: AnswerBody,
     {
         let listener = TcpListener::bind(address).await?;
         let (stage, stage_rx) = watch::channel(Stage::Open);
         let (limits, limits_rx) = watch::channel(limits);
-        let open = Arc::new(AtomicUsize::new(0));
+        let open = Arc::new(Connections::default());
         Ok(Self {
             address: listener.local_addr()?,
             stage,
@@ -118,7 +134,7 @@
                 limits_rx,
                 stage_rx,
                 open.clone(),
-                meter,
+                (meter, memory),
                 handle,
             )),
             open,
@@ -144,7 +160,7 @@
     /// Returns the number of open connections.
     #[must_use]
     pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
+        lock(&self.open.list).len()
     }
 
     /// Shuts down gracefully: stops accepting, closes idle connections, and waits until
@@ -168,16 +184,17 @@
 }
 
 /// Accepts connections until the server closes, then waits for the open ones.
-async fn accept<H, F>(
+async fn accept<H, F, B>(
     listener: TcpListener,
     limits: watch::Receiver<ServeLimits>,
     mut stage_rx: watch::Receiver<Stage>,
-    open: Arc<AtomicUsize>,
-    meter: TrafficMeter,
+    open: Arc<Connections>,
+    (meter, memory): (TrafficMeter, Memory),
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: AnswerBody,
 {
     // Aborted together with this task, so that dropping the server closes them.
     let mut connections = tokio::task::JoinSet::new();
@@ -192,20 +209,21 @@
             sleep(ACCEPT_BACKOFF).await;
             continue;
         };
-        // Closed at once at the limit, so that the caller tries another entry
+        // Closed at once if there is no room, so that the caller tries another entry
         // instead of waiting here.
-        if open.load(Ordering::Relaxed) >= limits.borrow().max_connections {
+        let max_connections = limits.borrow().max_connections;
+        if !open.has_room(max_connections) {
+            memory.count_loss(ClientLoss::Full);
             continue;
         }
-        let guard = OpenGuard::new(&open);
+        let conn = OpenGuard::new(&open, memory.client());
         // Fails if the connection is closed already; its first read then ends
         // it.
         let _ = TcpLiveness::default().apply(&stream);
         let stream = Metered::new(stream, meter.clone());
-        let served = connection(stream, limits.clone(), stage_rx.clone(), handle.clone());
+        let (limits, stage_rx, handle) = (limits.clone(), stage_rx.clone(), handle.clone());
         connections.spawn(async move {
-            let _guard = guard;
-            served.await;
+            connection(stream, &conn, limits, stage_rx, handle).await;
         });
     }
     drop(listener);
@@ -218,44 +236,91 @@
     let _ = stage_rx.wait_for(|stage| *stage >= Stage::Closing).await;
 }
 
-/// Counts a connection as open until dropped.
-struct OpenGuard(Arc<AtomicUsize>);
+/// The open connections of a server.
+#[derive(Debug, Default)]
+struct Connections {
+    /// By number, in the order in which they were opened.
+    list: Mutex<BTreeMap<u64, Arc<Conn>>>,
+}
+
+/// An open connection, and what it is doing.
+#[derive(Debug)]
+struct Conn {
+    client: Client,
+    phase: Mutex<Phase>,
+    /// What its read buffer takes while that may be large.
+    buffer: Mutex<Charge>,
+}
+
+impl Connections {
+    /// Returns whether a further connection may be opened where `most` may be open.
+    fn has_room(&self, most: usize) -> bool {
+        lock(&self.list).len() < most
+    }
+}
+
+/// Keeps a connection among those that are open until dropped.
+struct OpenGuard {
+    open: Arc<Connections>,
+    number: u64,
+    conn: Arc<Conn>,
+}
 
 impl OpenGuard {
-    /// Adds one to the count `open`.
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open.clone())
+    /// Adds a connection to `open`.
+    fn new(open: &Arc<Connections>, client: Client) -> Self {
+        let conn = Arc::new(Conn {
+            buffer: Mutex::new(client.charge()),
+            client,
+            phase: Mutex::new(Phase::Idle(Instant::now())),
+        });
+        let mut list = lock(&open.list);
+        let number = list.last_key_value().map_or(0, |(last, _)| last + 1);
+        list.insert(number, conn.clone());
+        drop(list);
+        Self {
+            open: open.clone(),
+            number,
+            conn,
+        }
     }
 }
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        lock(&self.open.list).remove(&self.number);
     }
 }
 
-/// Serves the requests of one connection with `handle` until it ends. Once the server
-/// closes, it ends after the request in flight.
-async fn connection<H, F>(
+/// Serves the requests of one connection with `handle` until it ends, or until its client has to
+/// go. Once the server closes, it ends after the request in flight.
+async fn connection<H, F, B>(
     stream: Metered<TcpStream>,
+    guard: &OpenGuard,
     limits: watch::Receiver<ServeLimits>,
     mut stage_rx: watch::Receiver<Stage>,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: AnswerBody,
 {
-    let phase = Arc::new(Mutex::new(Phase::Idle(Instant::now())));
+    let conn = guard.conn.clone();
+    let client = conn.client.clone();
     let max_head = limits.borrow().max_head;
-    let io = TimeoutStream::new(stream, phase.clone(), limits);
-    let service = service_fn(move |request| {
-        set_phase(&phase, Phase::Busy);
-        let (reply, phase) = (handle(request), phase.clone());
+    let io = TimeoutStream::new(stream, conn.clone(), limits);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        conn.begin_request();
+        if !request.body().is_end_stream() {
+            conn.charge_buffer(max_head);
+        }
+        request.extensions_mut().insert(conn.client.clone());
+        let (reply, conn) = (handle(request), conn.clone());
         async move {
             let reply = reply.await;
-            set_phase(&phase, Phase::Idle(Instant::now()));
-            Ok::<_, std::convert::Infallible>(reply)
+            conn.set_phase(Phase::Idle(Instant::now()));
+            conn.charge_buffer(0);
+            Ok::<_, Infallible>(reply)
         }
     });
     let mut builder = http1::Builder::new();
@@ -264,18 +329,30 @@
         .max_buf_size(max_head.max(MIN_BUFFER))
         .auto_date_header(false);
     let mut served = std::pin::pin!(builder.serve_connection(TokioIo::new(io), service));
+    let mut evicted = std::pin::pin!(client.evicted());
     tokio::select! {
         biased;
+        () = &mut evicted => {}
         () = wait_closing(&mut stage_rx) => {
             served.as_mut().graceful_shutdown();
-            // On an error the caller sees its connection break.
-            let _ = served.await;
+            tokio::select! {
+                biased;
+                () = &mut evicted => {}
+                // On an error the caller sees its connection break.
+                _ = served.as_mut() => return,
+            }
         }
-        _ = served.as_mut() => {}
+        _ = served.as_mut() => return,
+    }
+    // What it was sending is refused; an answer that it doesn't read is broken off.
+    if client.is_receiving() {
+        served.as_mut().graceful_shutdown();
+        let _ = timeout(REFUSAL_TIMEOUT, served).await;
     }
 }
 
-/// Smallest read buffer that hyper accepts, in bytes.
+/// Smallest read buffer that hyper accepts, in bytes. It grows for heads and bodies that are
+/// larger.
 const MIN_BUFFER: usize = 8192;
 
 /// What a connection is doing, which selects its timeout: idle, receiving a head or busy.
@@ -285,13 +362,32 @@
     Idle(Instant),
     /// Receiving a request head, since this time.
     Head(Instant),
-    /// Serving a request, including reading its body; reads have no timeout.
-    Busy,
+    /// Serving a request that began at this time, including reading its body; reads have no
+    /// timeout.
+    Busy(Instant),
 }
 
-/// Sets what a connection is doing.
-fn set_phase(phase: &Mutex<Phase>, to: Phase) {
-    *phase.lock().unwrap_or_else(PoisonError::into_inner) = to;
+impl Conn {
+    fn phase(&self) -> Phase {
+        *lock(&self.phase)
+    }
+
+    fn set_phase(&self, to: Phase) {
+        *lock(&self.phase) = to;
+    }
+
+    /// Changes what the read buffer is taken to hold. If there is no room, the client has to go,
+    /// and its connection ends.
+    fn charge_buffer(&self, bytes: usize) {
+        let _ = lock(&self.buffer).resize(bytes);
+    }
+
+    /// Records that a whole head has come.
+    fn begin_request(&self) {
+        let mut phase = lock(&self.phase);
+        let (Phase::Idle(since) | Phase::Head(since) | Phase::Busy(since)) = *phase;
+        *phase = Phase::Busy(since);
+    }
 }
 
 /// A stream whose reads fail once the timeout for a request head or for an idle
@@ -300,29 +396,45 @@
 /// request.
 struct TimeoutStream {
     stream: Metered<TcpStream>,
-    phase: Arc<Mutex<Phase>>,
+    conn: Arc<Conn>,
     limits: watch::Receiver<ServeLimits>,
     timer: Pin<Box<Sleep>>,
+    /// Bytes of the head so far.
+    head: usize,
 }
 
 impl TimeoutStream {
     /// Wraps `stream`; the timer first fires after the timeout for a head.
     fn new(
         stream: Metered<TcpStream>,
-        phase: Arc<Mutex<Phase>>,
+        conn: Arc<Conn>,
         limits: watch::Receiver<ServeLimits>,
     ) -> Self {
         let first = limits.borrow().head_timeout;
         Self {
             stream,
-            phase,
+            conn,
             limits,
             timer: Box::pin(sleep(first)),
+            head: 0,
         }
     }
 
-    fn phase(&self) -> Phase {
-        *self.phase.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Records that bytes have come, which may be part of a large head.
+    fn record_read(&mut self, bytes: usize) {
+        match self.conn.phase() {
+            Phase::Idle(_) => {
+                self.conn.set_phase(Phase::Head(Instant::now()));
+                self.head = bytes;
+            }
+            Phase::Head(_) => {
+                self.head += bytes;
+                if self.head >= MIN_BUFFER {
+                    self.conn.charge_buffer(self.limits.borrow().max_head);
+                }
+            }
+            Phase::Busy(_) => {}
+        }
     }
 
     /// Ready once the timeout of the current phase has passed; never in [`Phase::Busy`].
@@ -330,10 +442,10 @@
         while self.timer.as_mut().poll(cx).is_ready() {
             let limits = *self.limits.borrow();
             let now = Instant::now();
-            let deadline = match self.phase() {
+            let deadline = match self.conn.phase() {
                 Phase::Idle(since) => since + limits.idle_timeout,
                 Phase::Head(since) => since + limits.head_timeout,
-                Phase::Busy => now + limits.head_timeout,
+                Phase::Busy(_) => now + limits.head_timeout,
             };
             if deadline <= now {
                 return Poll::Ready(());
@@ -352,11 +464,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
         match Pin::new(&mut self.stream).poll_read(cx, buf) {
             Poll::Ready(result) => {
-                if let Phase::Idle(_) = self.phase() {
-                    set_phase(&self.phase, Phase::Head(Instant::now()));
-                }
+                self.record_read(buf.filled().len() - before);
                 Poll::Ready(result)
             }
             Poll::Pending => match self.poll_timeout(cx) {
@@ -397,34 +508,14 @@
     }
 }
 
-/// Why a request or response body could not be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BodyError {
-    /// The body is larger than the limit.
-    TooLarge,
-    /// The connection failed before the end of the body.
-    Incomplete,
-}
-
-/// Reads a whole body of at most `limit` bytes.
+/// Reads a whole body of at most `limit` bytes, without a limit on the time.
 ///
 /// # Errors
 ///
 /// Fails if the body is larger than the limit or incomplete.
-pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, ReceiveError>
 where
-    B: Body<Data = Bytes>,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    B: Body<Data = Bytes> + Unpin,
 {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit as u64 {
-        return Err(BodyError::TooLarge);
-    }
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge),
-        Err(_) => Err(BodyError::Incomplete),
-    }
+    Client::default().receive(body, limit, Duration::MAX).await
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use chestnut_book::{RetrySafety, Rule, Target, merge_top};
 use chestnut_flow::{AdmittedRequest, InFlightGuard, TimeLeft, admit, lock, run};
-use chestnut_port::{ForwardedRequest, LeafReply};
+use chestnut_port::{ForwardedRequest, LeafReply, ReceiveError};
 use chestnut_quarantine::Fingerprint;
 use chestnut_route::{
     AdmitRequest, Class, End, Ix, PartialReason, Query, QueryConfig, Repeat, Sheddable, Timeliness,
@@ -83,6 +83,10 @@
     Failed,
     /// A planned stop ends before an answer is there.
     Stopping,
+    /// The body stopped before its end.
+    Stalled,
+    /// The memory does not suffice for the body beside those of others.
+    Memory,
 }
 
 /// A request without an answer: why, whether it may have run, and when to retry.
@@ -454,9 +458,12 @@
 /// shards without an answer.
 fn merge(top: usize, coverage: Coverage, query: Query<LeafReply>) -> Reply {
     let parts: Vec<LeafReply> = query.into_parts().map(|(_, reply)| reply).collect();
-    let bodies = parts.iter().map(|reply| reply.response.body().as_ref());
+    let bodies: Vec<Bytes> = parts
+        .iter()
+        .map(|reply| reply.response.body().whole())
+        .collect();
     Reply::Merged {
-        body: merge_top(bodies, top).into(),
+        body: merge_top(bodies.iter().map(Bytes::as_ref), top).into(),
         missing: coverage.asked - coverage.answered,
         signatures: parts.into_iter().map(|reply| reply.signature).collect(),
     }
@@ -492,6 +499,11 @@
 /// and a half times its base, so that callers refused together don't retry together.
 fn retry_after(timeout: Duration, draw: u64) -> Duration {
     let base = (timeout / RETRY_AFTER_DIVISOR).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
+    jittered(base, draw)
+}
+
+/// Returns between half and one and a half times `base`, by `draw`.
+fn jittered(base: Duration, draw: u64) -> Duration {
     base.mul_f64(0.5 + draw as f64 / u64::MAX as f64)
 }
 
@@ -500,6 +512,24 @@
     not_run(DeclineReason::Stopping, Some(RETRY_AFTER_STOP))
 }
 
+/// Logs, counts and returns the refusal of a request whose body was not received.
+pub(crate) fn not_received(shared: &Shared, error: ReceiveError) -> Declined {
+    let (reason, after) = match error {
+        ReceiveError::Evicted => {
+            let draw = shared.runtime.rng().next_u64();
+            (DeclineReason::Memory, Some(jittered(RETRY_AFTER_MAX, draw)))
+        }
+        _ => (DeclineReason::Stalled, None),
+    };
+    let declined = not_run(reason, after);
+    shared.metrics.count_refusal(reason.as_str(), true);
+    info!(shared.runtime.log, "forward: {}", reason.as_str();
+        "run" => format!("{:?}", declined.run),
+        "retry_after_ms" => after.map(|after| after.as_millis() as u64),
+        "held" => %shared.memory.used());
+    declined
+}
+
 /// The refusal of a request over the limit of its organisation, which may come back `after`
 /// that time.
 fn over_limit(after: Duration) -> Declined {
@@ -583,6 +613,8 @@
             Self::Timeout => "timeout",
             Self::Failed => "calls failed",
             Self::Stopping => "stopping",
+            Self::Stalled => "stalled",
+            Self::Memory => "memory",
         }
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -164,6 +164,10 @@
     extra_calls: Family<KindLabels, Gauge<f64, AtomicU64>>,
     /// Requests with a quarantine record, and those refused now.
     quarantine_records: Family<KindLabels, Gauge>,
+    /// Bytes that are held for callers: bodies, and answers until they are read.
+    pub(crate) client_bytes: Gauge,
+    /// Connections of callers that were closed or turned away for others, by reason.
+    client_losses: Family<KindLabels, Gauge>,
     /// Requests under limits by organisation, the few that ask most and the rest, and by kind.
     organisations: Family<OrgLabels, Gauge>,
     /// Limits of the organisations that ask most, in requests a second.
@@ -208,6 +212,8 @@
             upstream_moves: Family::default(),
             bytes: Family::default(),
             extra_calls: Family::default(),
+            client_bytes: Gauge::default(),
+            client_losses: Family::default(),
             quarantine_records: Family::default(),
             organisations: Family::default(),
             organisation_limits: Family::default(),
@@ -280,6 +286,10 @@
         r.register("bytes", bytes, self.bytes.clone());
         let extra = "Extra calls so far: earned, lost, spent, withheld";
         r.register("extra_calls", extra, self.extra_calls.clone());
+        let held = "Bytes held for callers";
+        r.register("client_bytes", held, self.client_bytes.clone());
+        let losses = "Connections of callers that were closed or turned away for others";
+        r.register("client_losses", losses, self.client_losses.clone());
         let cases = "Requests under which leafs ended: known, and refused now";
         r.register("cases", cases, self.quarantine_records.clone());
         let limited =
@@ -375,6 +385,12 @@
         self.bytes.get_or_create(&labels).set(bytes as i64);
     }
 
+    /// Sets the total number of callers that lost their connection to others for a reason.
+    pub(crate) fn set_client_losses(&self, kind: &'static str, count: u64) {
+        let gauge = self.client_losses.get_or_create(&KindLabels { kind });
+        gauge.set(count as i64);
+    }
+
     /// Sets the number of requests with a quarantine record, and of those refused now.
     pub(crate) fn set_quarantine_records(&self, known: usize, refused: usize) {
         for (kind, count) in [("known", known), ("refused", refused)] {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,7 +10,9 @@
 
 use chestnut_book::{CallerLimits, RouteBook};
 use chestnut_flow::{Runtime, lock};
-use chestnut_port::{Feed, FeedService, Forward, ProbeTransport, ServeLimits, Traffic};
+use chestnut_port::{
+    Feed, FeedService, Forward, Memory, ProbeTransport, ReceiveError, ServeLimits, Traffic,
+};
 use chestnut_unit::{DomainName, LeafId};
 use futures::future::BoxFuture;
 use slog::Logger;
@@ -63,6 +65,8 @@
     pub probes: Arc<dyn ProbeTransport>,
     /// Byte counters of all interfaces.
     pub traffic: Arc<Traffic>,
+    /// Memory for what callers make the entry hold.
+    pub memory: Memory,
 }
 
 /// The handle of a running entry. Clones share the entry; dropping the last one ends its
@@ -94,7 +98,7 @@
             settings,
             runtime,
             ports.forward,
-            ports.traffic,
+            (ports.traffic, ports.memory),
             suspect_sender,
             update_sender,
         );
@@ -182,6 +186,13 @@
         }
     }
 
+    /// Returns the refusal of a request of which the body was not received, and counts it: one that
+    /// stopped, or that has to go for the memory of others. None of it was passed on.
+    #[must_use]
+    pub fn not_received(&self, error: ReceiveError) -> Declined {
+        forward::not_received(&self.shared, error)
+    }
+
     /// The log of this entry.
     pub(crate) fn log(&self) -> &Logger {
         &self.shared.runtime.log
--- a/crates/relay/src/report.rs
+++ b/crates/relay/src/report.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, fmt::Write, sync::Arc, time::Duration};
 
 use chestnut_flow::lock;
-use chestnut_port::{Direction, Distance, Purpose, Traffic};
+use chestnut_port::{ClientLoss, Direction, Distance, Purpose, Traffic};
 use chestnut_route::{BudgetTotals, CallCounts, OrgUse};
 use chestnut_unit::{OrgName, ServiceName, Time};
 use slog::info;
@@ -85,6 +85,7 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let (mut bytes, mut extra) = (ByteTotals::default(), ExtraTotals::default());
     let mut refused = 0;
+    let mut losses = ClientLosses::default();
     loop {
         sleep(LOG_INTERVAL).await;
         let now = ByteTotals::read(&shared.traffic);
@@ -120,9 +121,29 @@
         }
         extra = next;
         log_organisations(&shared, &mut refused);
+        log_clients(&shared, &mut losses);
     }
 }
 
+/// Clients that were lost, by reason.
+type ClientLosses = [u64; ClientLoss::ALL.len()];
+
+/// Logs the clients that lost their connection to others since the last line, if there are any;
+/// `losses` are the totals then.
+fn log_clients(shared: &Shared, losses: &mut ClientLosses) {
+    let now = ClientLoss::ALL.map(|why| shared.memory.losses(why));
+    let before = std::mem::replace(losses, now);
+    if now == before {
+        return;
+    }
+    let counts = ClientLoss::ALL.map(|why| {
+        let count = now[why as usize] - before[why as usize];
+        format!("{}={count}", why.as_str())
+    });
+    info!(shared.runtime.log, "admit: clients lost their connection to others";
+        "clients" => counts.join(" "), "held" => %shared.memory.used());
+}
+
 /// Logs the requests under limits since the start, if any were refused since the last line;
 /// `refused` is their number then.
 fn log_organisations(shared: &Shared, refused: &mut u64) {
@@ -176,7 +197,7 @@
     shared.metrics.set_organisation_limits(limits);
 }
 
-/// Updates the metrics that are read from counters elsewhere: bytes, the capacity of services,
+/// Updates the metrics that are read from counters elsewhere: bytes, clients, the capacity of services,
 /// calls in flight to evacuated domains, requests of organisations, and extra calls.
 pub(crate) fn update_metrics(shared: &Shared) {
     for (purpose, distance, direction) in byte_kinds() {
@@ -185,6 +206,12 @@
             .metrics
             .set_bytes(purpose, distance, direction, bytes);
     }
+    for why in ClientLoss::ALL {
+        let lost = shared.memory.losses(why);
+        shared.metrics.set_client_losses(why.as_str(), lost);
+    }
+    let held = shared.memory.used().0;
+    shared.metrics.client_bytes.set(held as i64);
     let (totals, counts, evacuated_calls, rooms) = {
         let state = lock(&shared.cell.state);
         (
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -9,7 +9,7 @@
 use crate::ColdLimits;
 use chestnut_conf::{LogSettings, SettingsError, duration, read_settings};
 use chestnut_route::RateMargins;
-use chestnut_unit::{DomainName, MemberId, Share, number};
+use chestnut_unit::{ByteSize, DomainName, MemberId, Share, number};
 use serde::Deserialize;
 
 /// The settings file of one relay entry.
@@ -61,6 +61,14 @@
     /// File descriptors that it may have open.
     #[serde(deserialize_with = "number::floor::deserialize")]
     pub files: usize,
+    /// Memory that it may take, in megabytes (10^6 bytes).
+    #[serde(default = "memory", deserialize_with = "number::floor::deserialize")]
+    pub memory: usize,
+}
+
+/// Default for [`RelayEntry::memory`], that of an entry's smallest usual machine.
+fn memory() -> usize {
+    160
 }
 
 /// Processor time of one leaf call, in core seconds, for the weight of an entry.
@@ -72,6 +80,11 @@
 /// Share of the file descriptors for connections from callers. Leafs, the store and other
 /// entries need the rest.
 const CALLERS_SHARE: f64 = 0.6;
+/// Share of the memory for what callers make the entry hold: bodies, and answers until they are
+/// read. The leafs, the book and the connections need the rest, and the allocator some of it.
+const CALLERS_MEMORY_SHARE: f64 = 0.4;
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
 
 impl RelayEntry {
     /// Maximum number of open connections from callers, a fixed share of the file
@@ -81,6 +94,12 @@
         (self.files as f64 * CALLERS_SHARE) as usize
     }
 
+    /// Memory for what callers make the entry hold.
+    #[must_use]
+    pub fn callers_memory(&self) -> ByteSize {
+        ByteSize((self.memory as f64 * MEGABYTE * CALLERS_MEMORY_SHARE) as u64)
+    }
+
     /// Capacity of the entry in calls per second, if the processor and then the link are
     /// busy with each call in turn.
     #[must_use]
@@ -297,6 +316,10 @@
             let problem = format!("{} file descriptors are too few", self.entry.files);
             return fail("entry.files", problem, "Write 300 or more.");
         }
+        if self.entry.memory < MEMORY_MIN {
+            let problem = format!("{} MB of memory are too few", self.entry.memory);
+            return fail("entry.memory", problem, "Write 64 or more.");
+        }
         if self.extra.window.is_zero() {
             let problem = "the window must not be empty".to_owned();
             return fail("extra.window", problem, "Write a span such as 10s.");
@@ -362,6 +385,8 @@
 /// Fewest file descriptors that `entry.files` may give, as some are reserved for other uses
 /// than sockets.
 const FILES_MIN: usize = 300;
+/// Least `entry.memory`, in megabytes: what an entry takes without callers, and some for them.
+const MEMORY_MIN: usize = 64;
 /// Greatest number in `extra`, `cold` and `limits`, far above the load of any service.
 const SLACK_MAX: f64 = 1e6;
 /// Shortest `limits.window`, in seconds.
--- a/crates/relay/src/shared.rs
+++ b/crates/relay/src/shared.rs
@@ -12,7 +12,7 @@
 
 use chestnut_book::{BookVersion, RouteBook};
 use chestnut_flow::{Cell, Runtime, lock};
-use chestnut_port::{Distance, Forward, Traffic};
+use chestnut_port::{Distance, Forward, Memory, Traffic};
 use chestnut_quarantine::{Fingerprint, SuspectLedger};
 use chestnut_route::{Choice, Class, Table, TableConfig};
 use chestnut_unit::{RequestId, ServiceName, Time};
@@ -64,6 +64,8 @@
     pub(crate) metrics: Metrics,
     /// Byte counts of all ports.
     pub(crate) traffic: Arc<Traffic>,
+    /// Memory for what callers make the entry hold.
+    pub(crate) memory: Memory,
     /// The lifecycle phase.
     pub(crate) phase: watch::Sender<Phase>,
     /// Whether the store is lost and its greatest revision, from the revision polls.
@@ -109,7 +111,7 @@
         settings: RelaySettings,
         runtime: Runtime,
         forward: Arc<dyn Forward>,
-        traffic: Arc<Traffic>,
+        (traffic, memory): (Arc<Traffic>, Memory),
         suspect_attempts: mpsc::Sender<SuspectAttempt>,
         record_updates: mpsc::Sender<Fingerprint>,
     ) -> Self {
@@ -129,6 +131,7 @@
             forward,
             metrics: Metrics::new(),
             traffic,
+            memory,
             phase: watch::Sender::new(Phase::Starting),
             store_status: watch::Sender::new(StoreStatus::default()),
             upstream: watch::Sender::new(None),
--- a/crates/relay/tests/forwarding.rs
+++ b/crates/relay/tests/forwarding.rs
@@ -290,7 +290,7 @@
     assert_eq!(declined.reason, DeclineReason::NoRule);
     sleep(Duration::from_millis(1)).await;
     assert!(
-        matches!(relay.forward(request("r", "/a/x")).await, Reply::Whole(r) if r.response.body() == &record("archive"))
+        matches!(relay.forward(request("r", "/a/x")).await, Reply::Whole(r) if r.response.body().whole() == record("archive"))
     );
 }
 
--- a/crates/relay/tests/world/leafs.rs
+++ b/crates/relay/tests/world/leafs.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use chestnut_flow::lock;
-use chestnut_port::{Forward, LeafCall, LeafFailure, LeafReply, Listening};
+use chestnut_port::{Forward, LeafCall, LeafFailure, LeafReply, Listening, Message};
 use chestnut_route::Refusal;
 use chestnut_unit::{LeafId, OrgName};
 use futures::{FutureExt, future::BoxFuture};
@@ -189,7 +189,7 @@
 }
 
 fn leaf_reply(leaf: &LeafId, status: u16, body: Bytes) -> LeafReply {
-    let mut response = Response::new(body);
+    let mut response = Response::new(Message::from(body));
     *response.status_mut() = status.try_into().unwrap();
     LeafReply {
         response,
--- a/crates/relay/tests/world/mod.rs
+++ b/crates/relay/tests/world/mod.rs
@@ -19,7 +19,7 @@
     BookVersion, CallerLimits, ColdRule, RetrySafety, RouteBook, Rule, ServiceRule, Target,
 };
 use chestnut_flow::{Runtime, TraceLevel, lock};
-use chestnut_port::{Clock, ForwardedRequest};
+use chestnut_port::{Client, Clock, ForwardedRequest, Memory};
 use chestnut_relay::{
     Credential, LeafRegistration, LeafState, PeerFeeds, Phase, Relay, RelayPorts, RelayRequest,
     RelaySettings, Reply,
@@ -101,6 +101,7 @@
             forward: Arc::new(self.leafs.clone()),
             probes: Arc::new(probes),
             traffic: Arc::default(),
+            memory: Memory::unlimited(),
         };
         Relay::spawn(settings, runtime, ports).await.unwrap()
     }
@@ -225,6 +226,7 @@
 /// Returns a request for `path` with two seconds left.
 pub fn request(id: &str, path: &'static str) -> RelayRequest {
     let message = ForwardedRequest {
+        client: Client::default(),
         organisation: None,
         id: id.to_owned(),
         method: Method::GET,
--- a/crates/tier/src/web.rs
+++ b/crates/tier/src/web.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use chestnut_port::read_body as port_body;
+use chestnut_port::{ReceiveError, read_body as port_body};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, StatusCode,
@@ -83,11 +83,11 @@
     let read = timeout(limits.request_timeout, port_body(&mut body, limits.body)).await;
     match read {
         Err(_) => Err(BodyError::Slow),
-        Ok(Err(chestnut_port::BodyError::TooLarge)) => {
+        Ok(Err(ReceiveError::TooLarge)) => {
             let _ = timeout(limits.request_timeout, discard(&mut body)).await;
             Err(BodyError::Large)
         }
-        Ok(Err(chestnut_port::BodyError::Incomplete)) => Err(BodyError::Broken),
+        Ok(Err(_)) => Err(BodyError::Broken),
         Ok(Ok(body)) => Ok(body),
     }
 }
