At the limit of connections the quietest goes, and each port has a limit of its own

What callers saw: as many silent clients as an entry allows connections turned away all others until they were idle for too long; and silent clients at four ports together took more descriptors than the machine has.

Cause: whoever came last was closed, and readiness, directory and metrics each allowed as many connections as the callers' port.

Change: at the limit the connection that has been quiet longest closes, if no request of it runs and it has been quiet for a second.

--- a/crates/port/src/memory.rs
+++ b/crates/port/src/memory.rs
@@ -36,19 +36,22 @@
 pub enum ClientLoss {
     /// What it made the process hold had to go for others.
     Memory,
-    /// All connections were in use.
+    /// It was the quietest when all connections were in use.
+    Quiet,
+    /// All connections were in use and none was quiet.
     Full,
 }
 
 impl ClientLoss {
     /// All reasons, in order of declaration.
-    pub const ALL: [Self; 2] = [Self::Memory, Self::Full];
+    pub const ALL: [Self; 3] = [Self::Memory, Self::Quiet, Self::Full];
 
     /// Returns the name in logs and metrics.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Memory => "memory",
+            Self::Quiet => "quiet",
             Self::Full => "full",
         }
     }
@@ -195,6 +198,17 @@
         self.0.evicted.cancelled().await;
     }
 
+    /// Tells the client to go.
+    pub(crate) fn evict(&self, why: ClientLoss) {
+        self.0.evict(why);
+    }
+
+    /// Whether the client was told to go.
+    #[must_use]
+    pub fn is_evicted(&self) -> bool {
+        self.0.evicted.is_cancelled()
+    }
+
     /// Whether a request of the client is being received, and none of it has been passed on.
     #[must_use]
     pub fn is_receiving(&self) -> bool {
--- a/crates/port/src/serve.rs
+++ b/crates/port/src/serve.rs
@@ -44,15 +44,21 @@
     pub head_timeout: Duration,
     /// Timeout of an idle keep-alive connection.
     pub idle_timeout: Duration,
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections. For a further one the quietest is closed, if it has
+    /// been quiet for a second, or else the new one.
     pub max_connections: usize,
 }
 
 /// Delay after a failed accept, which is mostly caused by a lack of
 /// descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
+/// Least time without a request after which a connection is closed for a new one. Callers that
+/// come at the same time would otherwise drive out each other.
+const QUIET_MIN: Duration = Duration::from_secs(1);
 /// Time in which a caller that has to go can take the refusal of what it was sending.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Part of the connections by which the limit may be exceeded while others close, as a divisor.
+const EXCESS_DIVISOR: usize = 16;
 
 /// Whether a server is open or closing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -212,7 +218,7 @@
         // Closed at once if there is no room, so that the caller tries another entry
         // instead of waiting here.
         let max_connections = limits.borrow().max_connections;
-        if !open.has_room(max_connections) {
+        if !open.make_room(max_connections, Instant::now()) {
             memory.count_loss(ClientLoss::Full);
             continue;
         }
@@ -253,9 +259,41 @@
 }
 
 impl Connections {
-    /// Returns whether a further connection may be opened where `most` may be open.
-    fn has_room(&self, most: usize) -> bool {
-        lock(&self.list).len() < most
+    /// Returns whether a further connection may be opened where `most` may be open. Tells the
+    /// quietest one to go if need be.
+    ///
+    /// Clients that connect and send nothing, or stop within a request, would otherwise take all
+    /// connections, and all others would be turned away.
+    fn make_room(&self, most: usize, now: Instant) -> bool {
+        let list = lock(&self.list);
+        if list.len() < most {
+            return true;
+        }
+        if list.len() > most + most / EXCESS_DIVISOR {
+            return false;
+        }
+        let quiet = list
+            .values()
+            .filter_map(|conn| Some((conn.quiet_since()?, conn)));
+        let quietest = quiet.min_by_key(|(since, _)| *since);
+        let Some((_, conn)) = quietest.filter(|(since, _)| now >= *since + QUIET_MIN) else {
+            return false;
+        };
+        conn.client.evict(ClientLoss::Quiet);
+        true
+    }
+}
+
+impl Conn {
+    /// Returns since when the connection has done nothing for a whole request; none if one runs,
+    /// or if the connection is about to close.
+    fn quiet_since(&self) -> Option<Instant> {
+        let phase = *lock(&self.phase);
+        let since = match phase {
+            Phase::Idle(since) | Phase::Head(since) => since,
+            Phase::Busy(since) => Some(since).filter(|_| self.client.is_receiving())?,
+        };
+        (!self.client.is_evicted()).then_some(since)
     }
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -186,6 +186,15 @@
         }
     }
 
+    /// Limits of the servers for readiness, directory and metrics.
+    #[must_use]
+    pub fn side_limits(&self) -> ServeLimits {
+        ServeLimits {
+            max_connections: self.shared.settings.entry.max_side_connections(),
+            ..self.serve_limits()
+        }
+    }
+
     /// Returns the refusal of a request of which the body was not received, and counts it: one that
     /// stopped, or that has to go for the memory of others. None of it was passed on.
     #[must_use]
