Only statuses from 200 to 599 are answers of a leaf; reason phrases stay behind

What callers saw: a leaf's answer with a status that is none, such as 101 or 999, reached them as an answer; with the header that says that nothing ran it counted as proof, and an unsafe request was made again.

Cause: the client of leafs took every status that the HTTP library parses.

--- a/crates/port/src/http_pool.rs
+++ b/crates/port/src/http_pool.rs
@@ -16,7 +16,7 @@
 use displaydoc::Display;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    Request, Response, StatusCode,
     body::Incoming,
     client::conn::http1::{self, SendRequest},
     header::HeaderName,
@@ -185,15 +185,20 @@
         }
     }
 
-    /// Reads the body of a response; [`ExchangeError::Lost`] if it is incomplete or larger
-    /// than the limit. Never returns if the call's client has to go, which drops the future.
+    /// Reads the body of a response; [`ExchangeError::Lost`] if its status is none, or if it is
+    /// incomplete or larger than the limit. Never returns if the call's client has to go, which drops the future.
     async fn read(
         &self,
         call: &LeafCall,
         checkout: Checkout,
         answer: Response<Incoming>,
     ) -> Result<Exchange, ExchangeError> {
-        let (parts, body) = answer.into_parts();
+        let (mut parts, body) = answer.into_parts();
+        if !is_final(parts.status) {
+            return Err(ExchangeError::Lost);
+        }
+        // The reason phrase means nothing, and callers may show or parse it.
+        parts.extensions.clear();
         let body = call.request.client.read(body, self.inner.config.max_body);
         match body.await {
             Ok(body) => Ok(Exchange {
@@ -299,6 +304,13 @@
     }
 }
 
+/// Returns whether `status` ends a request. A back end in trouble may send others, such as 101,
+/// after which a caller would speak another protocol, or 999, which has no meaning; what else the
+/// response says can't be believed either.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// A slot in the connection limit of a leaf, with the connection that uses it.
 /// Dropping it closes the connection and frees the slot.
 struct Slot {
--- a/crates/port/src/target_http.rs
+++ b/crates/port/src/target_http.rs
@@ -21,7 +21,7 @@
 use serde::Deserialize;
 use tokio::{net::TcpStream, sync::Notify, task::AbortHandle, time::timeout};
 
-use crate::{Clock, LeafAnswer, LeafQuery, LeafState, LeafSubmit, Targets};
+use crate::{Clock, LeafAnswer, LeafQuery, LeafState, LeafSubmit, Targets, http_pool::is_final};
 
 /// Connect timeout, keep-alive pings and answer size limit of [`HttpTargets`].
 #[derive(Clone, Copy, Debug)]
@@ -255,8 +255,8 @@
         })
     }
 
-    /// Sends a request to a leaf and reads the whole answer, whatever its status. Has no
-    /// timeout. Fails with [`Failure::NotSent`], or after sending as [`loss_kind`] says.
+    /// Sends a request to a leaf and reads the whole answer, whatever its status, but for one
+    /// that is none. Has no timeout. Fails with [`Failure::NotSent`], or after sending as [`loss_kind`] says.
     async fn call(
         &self,
         leaf: &Arc<LeafConns>,
@@ -275,6 +275,9 @@
             .await
             .map_err(|_| loss_kind(leaf, id))?;
         let status = answer.status();
+        if !is_final(status) {
+            return Err(loss_kind(leaf, id));
+        }
         let body = self
             .body(answer.into_body())
             .await
