The port for other entries has limits of connections and of calls

What callers saw: clients at that port took the memory or the descriptors of the entry's machine.

Cause: the port accepted any number of connections, and a call of up to 16 MB, which is read in full before it is decoded, though calls between entries are names and numbers.

Change: calls have 16 KB at most (answers as before), connections three twentieths of the descriptors; at the limit the one goes from which nothing has come for longest, a second at least.

--- a/crates/port/src/feed_rpc.rs
+++ b/crates/port/src/feed_rpc.rs
@@ -23,10 +23,13 @@
     feed_capnp::{feeds, items, reply},
     feed_serve::{PackedCache, Session},
     pack::inflate,
-    rpc::{CallTimeout, RpcEndpoint},
+    rpc::{CallTimeout, EndpointLimits, RpcEndpoint},
     wire::{self, decode_epoch, encode_epoch},
 };
 
+/// Largest message of a call, in words of eight bytes: 16 KiB, far above the names and numbers
+/// that calls consist of. Only answers are long.
+const MAX_CALL_WORDS: usize = 2 << 10;
 /// Timeout of a call that does not wait for changes, extended while bytes arrive. Short
 /// enough to ask another peer before changes are due.
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -95,8 +98,8 @@
 }
 
 impl FeedRpc {
-    /// Binds `address` and serves `service`. The bytes of calls to peers are counted in
-    /// `traffic`.
+    /// Binds `address` and serves `service` on at most `connections`. The bytes of calls to peers
+    /// are counted in `traffic`.
     ///
     /// # Errors
     ///
@@ -105,7 +108,12 @@
         address: SocketAddr,
         service: Arc<dyn FeedService>,
         traffic: Arc<Traffic>,
+        connections: usize,
     ) -> std::io::Result<Self> {
+        let limits = EndpointLimits {
+            connections,
+            call_words: MAX_CALL_WORDS,
+        };
         let runtime = Handle::current();
         let cache = Arc::new(Mutex::new(PackedCache::default()));
         let serve = move || {
@@ -118,7 +126,7 @@
             client.client
         };
         Ok(Self {
-            endpoint: RpcEndpoint::bind(address, Arc::new(serve), traffic.clone())?,
+            endpoint: RpcEndpoint::bind(address, Arc::new(serve), traffic.clone(), limits)?,
             traffic,
         })
     }
@@ -369,7 +377,10 @@
         }));
     }
     let message = inflate(message).map_err(rpc_error)?;
-    let message = capnp::serialize::read_message(&message[..], wire::reader_options())?;
+    let message = capnp::serialize::read_message(
+        &message[..],
+        wire::reader_options(wire::MAX_MESSAGE_WORDS),
+    )?;
     let items = message.get_root::<items::Reader<'_>>()?.get_items()?;
     let items = items.iter().map(|item| {
         let value = Bytes::copy_from_slice(item.get_value()?);
--- a/crates/port/src/peer_rpc.rs
+++ b/crates/port/src/peer_rpc.rs
@@ -15,7 +15,7 @@
     Dispatch, PeerError, PeerService, Peers, SubAnswer, SubQuery, Submission, SubmitReply,
     peer_capnp::peer,
     peer_serve::Session,
-    rpc::{CallTimeout, RpcEndpoint},
+    rpc::{CallTimeout, EndpointLimits, RpcEndpoint},
     wire,
 };
 
@@ -23,6 +23,12 @@
 /// reads all objects of a peer.
 const TIMEOUT: CallTimeout = CallTimeout::Idle(Duration::from_secs(2));
 
+/// Limits of the server: calls may be as long as answers, as they hold requests and objects.
+const LIMITS: EndpointLimits = EndpointLimits {
+    connections: 4096,
+    call_words: wire::MAX_MESSAGE_WORDS,
+};
+
 /// Server and client of the peer protocol. Dropping the last clone ends its thread. Its
 /// bytes are not counted as traffic.
 #[derive(Clone, Debug)]
@@ -48,7 +54,7 @@
             client.client
         };
         Ok(Self {
-            endpoint: RpcEndpoint::bind(address, Arc::new(serve), Arc::default())?,
+            endpoint: RpcEndpoint::bind(address, Arc::new(serve), Arc::default(), LIMITS)?,
         })
     }
 
--- a/crates/port/src/rpc.rs
+++ b/crates/port/src/rpc.rs
@@ -18,11 +18,11 @@
 
 use capnp::capability::FromClientHook;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
-use futures::{AsyncRead, AsyncWrite, FutureExt};
+use futures::{AsyncRead, AsyncWrite};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{mpsc, oneshot},
-    task::{LocalSet, spawn_local},
+    task::{AbortHandle, LocalSet, spawn_local},
     time::{Instant, timeout, timeout_at},
 };
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -83,6 +83,18 @@
     }
 }
 
+/// Limits of an endpoint on what other entries, or others that reach its port, may send.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndpointLimits {
+    /// Maximum number of accepted connections.
+    pub(crate) connections: usize,
+    /// Largest message of a call, in words of eight bytes.
+    pub(crate) call_words: usize,
+}
+
+/// Least time without received bytes after which a connection is closed for a new one.
+const QUIET_MIN: Duration = Duration::from_secs(1);
+
 /// The client type of a capnp interface.
 pub(crate) trait Client: FromClientHook + Clone + 'static {}
 
@@ -125,6 +137,7 @@
         address: SocketAddr,
         factory: ServiceFactory,
         traffic: Arc<Traffic>,
+        limits: EndpointLimits,
     ) -> std::io::Result<Self> {
         let listener = std::net::TcpListener::bind(address)?;
         listener.set_nonblocking(true)?;
@@ -132,7 +145,7 @@
         let (jobs, queue) = mpsc::channel(QUEUE_CAPACITY);
         std::thread::Builder::new()
             .name("peers".to_owned())
-            .spawn(move || run(listener, factory, queue, traffic))?;
+            .spawn(move || run(listener, (factory, limits), queue, traffic))?;
         Ok(Self { jobs, address })
     }
 
@@ -254,7 +267,7 @@
 /// last [`RpcEndpoint`] is dropped.
 fn run<C: Client>(
     listener: std::net::TcpListener,
-    factory: ServiceFactory,
+    (factory, limits): (ServiceFactory, EndpointLimits),
     mut queue: mpsc::Receiver<Job<C>>,
     traffic: Arc<Traffic>,
 ) {
@@ -264,7 +277,7 @@
         .expect("a runtime on one thread can be built");
     LocalSet::new().block_on(&local_runtime, async move {
         let listener = TcpListener::from_std(listener).expect("the socket is non-blocking");
-        let accept = spawn_local(accept(listener, factory));
+        let accept = spawn_local(accept(listener, factory, limits));
         let state = Rc::new(ThreadState {
             conns: RefCell::default(),
             traffic,
@@ -276,31 +289,72 @@
     });
 }
 
+/// An accepted connection: when bytes last came, and the task that serves it.
+struct Accepted {
+    last_read: Rc<Cell<Instant>>,
+    task: AbortHandle,
+}
+
+/// The accepted connections that are open, in the order in which they came.
+type AcceptedConns = Rc<RefCell<BTreeMap<u64, Accepted>>>;
+
+/// Returns whether a further connection may be accepted where `most` may be open. At the limit the
+/// quietest is closed, or connections on which nothing is sent would keep out other entries.
+fn make_room(open: &AcceptedConns, most: usize) -> bool {
+    let mut open = open.borrow_mut();
+    if open.len() < most {
+        return true;
+    }
+    let quietest = open.iter().min_by_key(|(_, conn)| conn.last_read.get());
+    let quietest = quietest.map(|(number, conn)| (*number, conn.last_read.get()));
+    match quietest {
+        Some((number, last_read)) if last_read.elapsed() >= QUIET_MIN => {
+            open.remove(&number).inspect(|conn| conn.task.abort());
+            true
+        }
+        _ => false,
+    }
+}
+
 /// Accepts connections until cancelled, and serves each with a capability of `factory`.
 /// Their bytes are not counted.
-async fn accept(listener: TcpListener, factory: ServiceFactory) {
+async fn accept(listener: TcpListener, factory: ServiceFactory, limits: EndpointLimits) {
     /// Delay after a failed accept, which is mostly caused by a lack of descriptors.
     const BACKOFF: Duration = Duration::from_millis(50);
-    loop {
+    let open = AcceptedConns::default();
+    for number in 0.. {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(BACKOFF).await;
             continue;
         };
+        if !make_room(&open, limits.connections) {
+            continue;
+        }
         let last_read = Rc::new(Cell::new(Instant::now()));
-        let network = network(stream, Side::Server, last_read, None);
+        let words = limits.call_words;
+        let network = network(stream, Side::Server, last_read.clone(), None, words);
         let system = RpcSystem::new(network, Some(factory()));
-        // A protocol error ends only this connection.
-        spawn_local(system.map(drop));
+        let ended = open.clone();
+        let task = spawn_local(async move {
+            // A protocol error ends only this connection.
+            let _ = system.await;
+            ended.borrow_mut().remove(&number);
+        });
+        let task = task.abort_handle();
+        open.borrow_mut()
+            .insert(number, Accepted { last_read, task });
     }
 }
 
 /// Wraps a TCP stream for the capnp library, with Nagle's algorithm disabled. Sets
-/// `last_read` at each receipt of bytes and counts bytes if there is a `meter`.
+/// `last_read` at each receipt of bytes and counts bytes if there is a `meter`. Messages received
+/// may have at most `words` words.
 fn network(
     stream: TcpStream,
     side: Side,
     last_read: Rc<Cell<Instant>>,
     meter: Option<(Arc<Traffic>, Distance)>,
+    words: usize,
 ) -> Box<twoparty::VatNetwork<impl AsyncRead>> {
     // Disables Nagle's algorithm, which would delay small messages.
     let _ = stream.set_nodelay(true);
@@ -319,7 +373,7 @@
         reader,
         writer,
         side,
-        wire::reader_options(),
+        wire::reader_options(words),
     ))
 }
 
@@ -380,7 +434,8 @@
         .map_err(|_| PeerError::NotSent)?;
     let last_read = Rc::new(Cell::new(Instant::now()));
     let meter = (state.traffic.clone(), state.traffic.distance(to));
-    let network = network(stream, Side::Client, last_read.clone(), Some(meter));
+    let words = wire::MAX_MESSAGE_WORDS;
+    let network = network(stream, Side::Client, last_read.clone(), Some(meter), words);
     let mut system = RpcSystem::new(network, None);
     let conn = Rc::new(Conn {
         client: system.bootstrap(Side::Server),
--- a/crates/port/src/wire.rs
+++ b/crates/port/src/wire.rs
@@ -23,17 +23,17 @@
 /// Version of the protocol between entries.
 pub(crate) const VERSION: u16 = 1;
 /// Largest message that is accepted, in words of eight bytes: 16 MiB.
-const MAX_MESSAGE_WORDS: usize = 2 << 20;
+pub(crate) const MAX_MESSAGE_WORDS: usize = 2 << 20;
 /// Deepest nesting of structs that is accepted; valid messages stay well below.
 const MAX_NESTING: i32 = 16;
 
 /// Result of decoding a message.
 pub(crate) type DecodeResult<T> = Result<T, capnp::Error>;
 
-/// Returns the limits for messages from peers.
-pub(crate) fn reader_options() -> ReaderOptions {
+/// Returns the limits for messages of at most `words` words from peers.
+pub(crate) fn reader_options(words: usize) -> ReaderOptions {
     let mut options = ReaderOptions::new();
-    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    options.traversal_limit_in_words(Some(words));
     options.nesting_limit(MAX_NESTING);
     options
 }
@@ -219,7 +219,7 @@
 /// Decodes a probe from a datagram. Fails if it is malformed or of another protocol
 /// version.
 pub(crate) fn decode_probe(bytes: &[u8]) -> DecodeResult<Message> {
-    let message = capnp::serialize_packed::read_message(bytes, reader_options())?;
+    let message = capnp::serialize_packed::read_message(bytes, reader_options(MAX_MESSAGE_WORDS))?;
     let root = message.get_root::<schema::probe::Reader<'_>>()?;
     check_version(root.get_version())?;
     let kind = match root.get_kind()? {
--- a/crates/port/tests/slow_link.rs
+++ b/crates/port/tests/slow_link.rs
@@ -137,10 +137,10 @@
 impl LinkedEntries {
     async fn open() -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let server = FeedRpc::bind(any, Arc::new(LongFeed), Arc::default())
+        let server = FeedRpc::bind(any, Arc::new(LongFeed), Arc::default(), 8)
             .await
             .unwrap();
-        let client = FeedRpc::bind(any, Arc::new(LongFeed), Arc::default())
+        let client = FeedRpc::bind(any, Arc::new(LongFeed), Arc::default(), 8)
             .await
             .unwrap();
         let stalled = Arc::new(AtomicBool::new(false));
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -82,6 +82,9 @@
 const CALLERS_SHARE: f64 = 0.6;
 /// Share of the file descriptors for connections to each of readiness, directory and metrics.
 const SIDE_SHARE: f64 = 0.05;
+/// Share of the file descriptors for connections from other entries: those of a failure domain
+/// stay connected to the one that watches the store.
+const PEERS_SHARE: f64 = 0.15;
 /// Share of the memory for what callers make the entry hold: bodies, and answers until they are
 /// read. The leafs, the book and the connections need the rest, and the allocator some of it.
 const CALLERS_MEMORY_SHARE: f64 = 0.4;
@@ -102,6 +105,12 @@
         (self.files as f64 * SIDE_SHARE) as usize
     }
 
+    /// Maximum number of open connections from other entries.
+    #[must_use]
+    pub fn max_peer_connections(&self) -> usize {
+        (self.files as f64 * PEERS_SHARE) as usize
+    }
+
     /// Memory for what callers make the entry hold.
     #[must_use]
     pub fn callers_memory(&self) -> ByteSize {
