chestnutd: request bodies of all connections together are bounded

What callers saw: as at chestnut-entry, clients that stop a byte before the end of their bodies and stay connected take the memory of the process.

Cause: limits.body bounds one body only.

Change: limits.memory, 96 MiB by default, with the account that chestnut-entry uses; what has to go is refused as overload, not run. Read buffers of HTTP/1.1 connections have 64 KiB at most. Answers that are read slowly, and HTTP/2 streams, are not in the account.

--- a/crates/cli/tests/blackbox/cluster.rs
+++ b/crates/cli/tests/blackbox/cluster.rs
@@ -38,6 +38,17 @@
         Self(child)
     }
 
+    /// Returns the most memory that the process has had resident so far, in kB.
+    pub fn peak_memory(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number
+            .expect("the peak of a living process")
+            .parse()
+            .unwrap()
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.0.id() as i32);
--- a/crates/cli/tests/blackbox/main.rs
+++ b/crates/cli/tests/blackbox/main.rs
@@ -1,6 +1,7 @@
 //! Black-box tests: separate processes on loopback, used only through their
 //! network interfaces and the command line.
 
+mod clients;
 mod cluster;
 mod edits;
 mod evacuations;
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -102,11 +102,13 @@
     pub connections: usize,
     /// Maximum number of header lines in a request.
     pub headers: usize,
+    /// Maximum size of all request bodies that are held at once.
+    pub memory: ByteSize,
 }
 
 impl Default for LimitSettings {
     /// Bodies of 64 KiB, answers of 4 MiB, deadlines of 60 s, 5 s to receive a head or
-    /// body, 10,000 connections and 64 header lines.
+    /// body, 10,000 connections, 64 header lines, and 96 MiB for all bodies.
     fn default() -> Self {
         Self {
             body: ByteSize(64 << 10),
@@ -115,6 +117,7 @@
             patience: Duration::from_secs(5),
             connections: 10_000,
             headers: 64,
+            memory: ByteSize(96 << 20),
         }
     }
 }
@@ -303,6 +306,14 @@
             let problem = format!("{} is out of range", self.limits.body);
             return fail("limits.body", problem, "Write a size from 1B to 16MiB.");
         }
+        if self.limits.memory.0 < 4 * self.limits.body.0 {
+            let problem = format!("{} is less than four bodies", self.limits.memory);
+            return fail(
+                "limits.memory",
+                problem,
+                "Write four times limits.body or more.",
+            );
+        }
         if self.control.probe < MIN_PROBE || self.control.probe > MAX_PROBE {
             let problem = format!("{:?} is out of range", self.control.probe);
             return fail(
--- a/crates/tier/src/callers.rs
+++ b/crates/tier/src/callers.rs
@@ -210,6 +210,9 @@
 /// Refuses a request whose body could not be read, with the HTTP status of
 /// `error`.
 fn bad_body(tier: &Tier, error: BodyError) -> Reply {
+    if error == BodyError::NoRoom {
+        return refuse_unparsed(tier, Reason::Overload, error.text().to_owned());
+    }
     let mut reply = bad_request(tier, error.text().to_owned());
     *reply.status_mut() = error.status();
     reply
--- a/crates/tier/src/server.rs
+++ b/crates/tier/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
+use chestnut_port::Memory;
 use tokio::{sync::watch, task::JoinHandle, time::Instant};
 
 use crate::{
@@ -37,6 +38,7 @@
         let callers = web::bind(settings.listen.callers).await?;
         let operators = web::bind(settings.listen.operators).await?;
         let limits = WebLimits {
+            memory: Memory::new(settings.limits.memory, tier.shared.runtime.clock),
             body: settings.limits.body.0 as usize,
             headers: settings.limits.headers,
             request_timeout: settings.limits.patience,
@@ -45,7 +47,7 @@
         let operator_limits = WebLimits {
             body: MAX_EDIT_BYTES,
             connections: MAX_OPERATOR_CONNECTIONS,
-            ..limits
+            ..limits.clone()
         };
         let (shutdown, shutdown_rx) = watch::channel(None);
         let mut http = Self {
@@ -55,13 +57,15 @@
             servers: Vec::new(),
         };
         let caller_tier = tier.clone();
+        let handler_limits = limits.clone();
         let caller_server = web::serve(callers, limits, shutdown_rx.clone(), move |request| {
-            callers::handle(caller_tier.clone(), limits, request)
+            callers::handle(caller_tier.clone(), handler_limits.clone(), request)
         });
         http.servers.push(tokio::spawn(caller_server));
         let operator_tier = tier.clone();
+        let handler_limits = operator_limits.clone();
         let operator_server = web::serve(operators, operator_limits, shutdown_rx, move |request| {
-            operators::handle(operator_tier.clone(), operator_limits, request)
+            operators::handle(operator_tier.clone(), handler_limits.clone(), request)
         });
         http.servers.push(tokio::spawn(operator_server));
         Ok(http)
--- a/crates/tier/src/web.rs
+++ b/crates/tier/src/web.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use chestnut_port::{ReceiveError, read_body as port_body};
+use chestnut_port::{Memory, ReceiveError};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response, StatusCode,
@@ -28,8 +28,10 @@
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
 /// Limits of one HTTP listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct WebLimits {
+    /// Memory for the request bodies of all listeners.
+    pub(crate) memory: Memory,
     /// Maximum size of a request body in bytes.
     pub(crate) body: usize,
     /// Maximum number of headers over HTTP/1.1.
@@ -41,7 +43,7 @@
     pub(crate) connections: usize,
 }
 
-/// Why a request body could not be read: too large, too slow or broken off.
+/// Why a request body could not be read: too large, too slow, broken off or without room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum BodyError {
     /// The body exceeds the limit.
@@ -50,6 +52,8 @@
     Slow,
     /// The connection failed.
     Broken,
+    /// The process can't hold it beside those of others.
+    NoRoom,
 }
 
 impl BodyError {
@@ -59,6 +63,7 @@
             Self::Large => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Slow => StatusCode::REQUEST_TIMEOUT,
             Self::Broken => StatusCode::BAD_REQUEST,
+            Self::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -68,6 +73,7 @@
             Self::Large => "the body is larger than the limit of this entry",
             Self::Slow => "the body did not come in time",
             Self::Broken => "the body broke off",
+            Self::NoRoom => "this entry can't hold the body beside those of others",
         }
     }
 }
@@ -80,14 +86,18 @@
 /// is too large is read on and dropped, so that the caller gets the error
 /// reply.
 pub(crate) async fn read_body(mut body: Incoming, limits: &WebLimits) -> Result<Bytes, BodyError> {
-    let read = timeout(limits.request_timeout, port_body(&mut body, limits.body)).await;
+    let client = limits.memory.client();
+    let received = client.receive(&mut body, limits.body, limits.request_timeout);
+    let read = timeout(limits.request_timeout, received).await;
     match read {
         Err(_) => Err(BodyError::Slow),
         Ok(Err(ReceiveError::TooLarge)) => {
             let _ = timeout(limits.request_timeout, discard(&mut body)).await;
             Err(BodyError::Large)
         }
-        Ok(Err(_)) => Err(BodyError::Broken),
+        Ok(Err(ReceiveError::Evicted)) => Err(BodyError::NoRoom),
+        Ok(Err(ReceiveError::Stalled)) => Err(BodyError::Slow),
+        Ok(Err(ReceiveError::Incomplete)) => Err(BodyError::Broken),
         Ok(Ok(body)) => Ok(body),
     }
 }
@@ -158,7 +168,12 @@
         let Ok(slot) = slots.clone().try_acquire_owned() else {
             continue;
         };
-        let connection = connection(stream, limits, handle.clone());
+        let connection = connection(
+            stream,
+            limits.headers,
+            limits.request_timeout,
+            handle.clone(),
+        );
         let watched = graceful.watch(connection);
         tokio::spawn(async move {
             let _slot = slot;
@@ -175,7 +190,8 @@
 /// the connection is served when the result is polled.
 fn connection<H, F>(
     stream: TcpStream,
-    limits: WebLimits,
+    headers: usize,
+    request_timeout: Duration,
     handle: H,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = impl Send> + Send
 where
@@ -191,18 +207,23 @@
     builder
         .http1()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.request_timeout)
-        .max_headers(limits.headers);
+        .max_buf_size(READ_BUFFER_MAX)
+        .header_read_timeout(request_timeout)
+        .max_headers(headers);
     builder
         .http2()
         .timer(TokioTimer::new())
-        .keep_alive_interval(limits.request_timeout)
+        .keep_alive_interval(request_timeout)
         .max_header_list_size(MAX_HEADER_BYTES);
     builder
         .serve_connection(TokioIo::new(stream), service)
         .into_owned()
 }
 
+/// Largest read buffer of an HTTP/1.1 connection, and largest head of a request, in bytes. Each
+/// open connection keeps its buffer.
+const READ_BUFFER_MAX: usize = 64 << 10;
+
 /// Maximum size of headers over HTTP/2 in bytes, where their number is not
 /// limited.
 const MAX_HEADER_BYTES: u32 = 16 << 10;
