Leafs: a head is given up after 256 KB, interim answers among them

Cause: the HTTP library passes over any number of interim answers, 400 KB at a time and 128 times a turn. Evidence: an_answer_without_end_is_given_up, interim 103 and 100: 504 at the deadline in three of three runs before; the other eight cases (header lines, one line, a reason, no answer, bodies) held before too. With a bound on the bytes before the end of a head: 502 at once, 4 MB taken, most of it in the kernel's buffers; the six cases of heads passed 20 of 20 runs.

--- a/crates/port/src/http_pool.rs
+++ b/crates/port/src/http_pool.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     Clock, LeafCall, Listening, Message, Purpose, ReceiveError, TcpLiveness, Traffic, TrafficMeter,
+    head_limit::{HeadBudget, HeadLimited},
     traffic::Metered,
 };
 
@@ -62,6 +63,8 @@
 /// Largest read buffer of a connection, and largest head of a response, in bytes. Each open
 /// connection keeps its buffer.
 const READ_BUFFER_MAX: usize = 64 << 10;
+/// Most bytes from a back end before the head of its response ends, with all interim responses.
+const HEAD_BYTES_MAX: usize = 4 * READ_BUFFER_MAX;
 
 /// Why an exchange returned no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
@@ -92,6 +95,7 @@
 /// idle and when it expires.
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
+    head: HeadBudget,
     task: AbortHandle,
     since: Time,
     expires: Time,
@@ -172,7 +176,9 @@
             if self.inner.clock.now() >= call.send_before {
                 return Err(ExchangeError::TooLate);
             }
+            checkout.head.start(HEAD_BYTES_MAX);
             let sent = checkout.sender.try_send_request(request).await;
+            checkout.head.end();
             match sent {
                 Ok(answer) => return self.read(call, checkout, answer).await,
                 // The connection closed before anything was written.
@@ -229,6 +235,7 @@
                     let slot = Slot::new(self, leaf, generation, Some(idle.task));
                     return Ok(Checkout {
                         sender: idle.sender,
+                        head: idle.head,
                         reused: true,
                         slot,
                     });
@@ -245,10 +252,11 @@
         };
         let opened = timeout(self.inner.config.connect_timeout, self.open(call)).await;
         match opened {
-            Ok(Ok((sender, task))) => {
+            Ok(Ok((sender, head, task))) => {
                 slot.task = Some(task);
                 Ok(Checkout {
                     sender,
+                    head,
                     reused: false,
                     slot,
                 })
@@ -262,7 +270,7 @@
     async fn open(
         &self,
         call: &LeafCall,
-    ) -> std::io::Result<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    ) -> std::io::Result<(SendRequest<Full<Bytes>>, HeadBudget, AbortHandle)> {
         let stream = TcpStream::connect(call.address).await?;
         self.inner.config.keepalive.apply(&stream)?;
         let meter = TrafficMeter {
@@ -270,9 +278,11 @@
             purpose: Purpose::Leafs,
             distance: call.distance,
         };
+        let head = HeadBudget::unlimited();
+        let stream = HeadLimited::new(Metered::new(stream, meter), head.clone());
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_MAX)
-            .handshake(TokioIo::new(Metered::new(stream, meter)))
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -280,7 +290,7 @@
             // connection is discarded when it is next taken from the pool.
             let _ = conn.await;
         });
-        Ok((sender, task.abort_handle()))
+        Ok((sender, head, task.abort_handle()))
     }
 
     /// Closes the idle connections to a leaf that has left and drops its pool. Connections
@@ -355,6 +365,7 @@
 /// A connection in use by one exchange. `reused` tells whether it came from the pool.
 struct Checkout {
     sender: SendRequest<Full<Bytes>>,
+    head: HeadBudget,
     reused: bool,
     slot: Slot,
 }
@@ -377,7 +388,10 @@
     pub fn release(self) -> Response<Message> {
         let Self { answer, checkout } = self;
         let Checkout {
-            sender, mut slot, ..
+            sender,
+            head,
+            mut slot,
+            ..
         } = checkout;
         let pool = slot.pool.clone();
         let idle = keep_alive_timeout(&answer).unwrap_or(pool.inner.config.idle_timeout);
@@ -396,6 +410,7 @@
         slot.pooled = true;
         conns.idle.push(Idle {
             sender,
+            head,
             task,
             since: now,
             expires,
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -26,6 +26,7 @@
 mod feed_rpc;
 mod feed_serve;
 mod forward;
+mod head_limit;
 mod hop_by_hop;
 mod http;
 mod json;
