--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -14,6 +14,7 @@
 #![warn(clippy::unwrap_used)]
 
 mod clock;
+mod connections;
 mod feed;
 mod http_pool;
 #[expect(
--- a/crates/port/src/serve.rs
+++ b/crates/port/src/serve.rs
@@ -2,19 +2,17 @@
 //! and the time that a connection may be slow or idle.
 
 use std::{
-    collections::BTreeMap,
     convert::Infallible,
     future::Future,
     io,
     net::SocketAddr,
     pin::Pin,
-    sync::{Arc, Mutex},
+    sync::Arc,
     task::{Context, Poll},
     time::Duration,
 };
 
 use bytes::Bytes;
-use chestnut_unit::lock;
 use hyper::{
     Request, Response,
     body::{Body, Incoming},
@@ -32,7 +30,8 @@
 
 use crate::{
     Client, ClientLoss, Distance, Memory, Purpose, ReceiveError, TcpLiveness, TrafficMeter,
-    memory::Charge, traffic::Metered,
+    connections::{Conn, Connections, OpenGuard, Phase},
+    traffic::Metered,
 };
 
 /// Limits of a server on its clients: head size, timeouts and connections.
@@ -52,13 +51,8 @@
 /// Delay after a failed accept, which is mostly caused by a lack of
 /// descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
-/// Least time without a request after which a connection is closed for a new one. Callers that
-/// come at the same time would otherwise drive out each other.
-const QUIET_MIN: Duration = Duration::from_secs(1);
 /// Time in which a caller that has to go can take the refusal of what it was sending.
 const REFUSAL_TIMEOUT: Duration = Duration::from_secs(1);
-/// Part of the connections by which the limit may be exceeded while others close, as a divisor.
-const EXCESS_DIVISOR: usize = 16;
 
 /// Whether a server is open or closing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,7 +160,7 @@
     /// Returns the number of open connections.
     #[must_use]
     pub fn open(&self) -> usize {
-        lock(&self.open.list).len()
+        self.open.count()
     }
 
     /// Shuts down gracefully: stops accepting, closes idle connections, and waits until
@@ -242,94 +236,6 @@
     let _ = stage_rx.wait_for(|stage| *stage >= Stage::Closing).await;
 }
 
-/// The open connections of a server.
-#[derive(Debug, Default)]
-struct Connections {
-    /// By number, in the order in which they were opened.
-    list: Mutex<BTreeMap<u64, Arc<Conn>>>,
-}
-
-/// An open connection, and what it is doing.
-#[derive(Debug)]
-struct Conn {
-    client: Client,
-    phase: Mutex<Phase>,
-    /// What its read buffer takes while that may be large.
-    buffer: Mutex<Charge>,
-}
-
-impl Connections {
-    /// Returns whether a further connection may be opened where `most` may be open. Tells the
-    /// quietest one to go if need be.
-    ///
-    /// Clients that connect and send nothing, or stop within a request, would otherwise take all
-    /// connections, and all others would be turned away.
-    fn make_room(&self, most: usize, now: Instant) -> bool {
-        let list = lock(&self.list);
-        if list.len() < most {
-            return true;
-        }
-        if list.len() > most + most / EXCESS_DIVISOR {
-            return false;
-        }
-        let quiet = list
-            .values()
-            .filter_map(|conn| Some((conn.quiet_since()?, conn)));
-        let quietest = quiet.min_by_key(|(since, _)| *since);
-        let Some((_, conn)) = quietest.filter(|(since, _)| now >= *since + QUIET_MIN) else {
-            return false;
-        };
-        conn.client.evict(ClientLoss::Quiet);
-        true
-    }
-}
-
-impl Conn {
-    /// Returns since when the connection has done nothing for a whole request; none if one runs,
-    /// or if the connection is about to close.
-    fn quiet_since(&self) -> Option<Instant> {
-        let phase = *lock(&self.phase);
-        let since = match phase {
-            Phase::Idle(since) | Phase::Head(since) => since,
-            Phase::Busy(since) => Some(since).filter(|_| self.client.is_receiving())?,
-        };
-        (!self.client.is_evicted()).then_some(since)
-    }
-}
-
-/// Keeps a connection among those that are open until dropped.
-struct OpenGuard {
-    open: Arc<Connections>,
-    number: u64,
-    conn: Arc<Conn>,
-}
-
-impl OpenGuard {
-    /// Adds a connection to `open`.
-    fn new(open: &Arc<Connections>, client: Client) -> Self {
-        let conn = Arc::new(Conn {
-            buffer: Mutex::new(client.charge()),
-            client,
-            phase: Mutex::new(Phase::Idle(Instant::now())),
-        });
-        let mut list = lock(&open.list);
-        let number = list.last_key_value().map_or(0, |(last, _)| last + 1);
-        list.insert(number, conn.clone());
-        drop(list);
-        Self {
-            open: open.clone(),
-            number,
-            conn,
-        }
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        lock(&self.open.list).remove(&self.number);
-    }
-}
-
 /// Serves the requests of one connection with `handle` until it ends, or until its client has to
 /// go. Once the server closes, it ends after the request in flight.
 async fn connection<H, F, B>(
@@ -393,41 +299,6 @@
 /// larger.
 const MIN_BUFFER: usize = 8192;
 
-/// What a connection is doing, which selects its timeout: idle, receiving a head or busy.
-#[derive(Clone, Copy, Debug)]
-enum Phase {
-    /// Between requests, since this time.
-    Idle(Instant),
-    /// Receiving a request head, since this time.
-    Head(Instant),
-    /// Serving a request that began at this time, including reading its body; reads have no
-    /// timeout.
-    Busy(Instant),
-}
-
-impl Conn {
-    fn phase(&self) -> Phase {
-        *lock(&self.phase)
-    }
-
-    fn set_phase(&self, to: Phase) {
-        *lock(&self.phase) = to;
-    }
-
-    /// Changes what the read buffer is taken to hold. If there is no room, the client has to go,
-    /// and its connection ends.
-    fn charge_buffer(&self, bytes: usize) {
-        let _ = lock(&self.buffer).resize(bytes);
-    }
-
-    /// Records that a whole head has come.
-    fn begin_request(&self) {
-        let mut phase = lock(&self.phase);
-        let (Phase::Idle(since) | Phase::Head(since) | Phase::Busy(since)) = *phase;
-        *phase = Phase::Busy(since);
-    }
-}
-
 /// A stream whose reads fail once the timeout for a request head or for an idle
 /// connection has passed. hyper's header timeout would include the idle time.
 /// The timer is reset only when it fires, which is cheaper than at each
