Leafs: an answer to another request proves nothing about the one that waits

What callers saw: unsafe requests ran twice, or were answered 503 and had run, when leafs send extra answers: a 421 with the id of an earlier request, or a second copy of a refusal without an id.

Cause: classify believed the status 421 before it compared the id, and a refusal without an id counts for the request that waits, also on a connection on which such a refusal had just come.

A connection on which an answer without an id has come is not used for requests that may run once.

--- a/crates/port/src/forward.rs
+++ b/crates/port/src/forward.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use chestnut_book::RetrySafety;
 use chestnut_route::Refusal;
 use chestnut_unit::{LeafId, OrgName, Time};
 use futures::future::BoxFuture;
@@ -47,6 +48,9 @@
     /// Maximum idle time of a reused connection. The leaf may have dropped an older
     /// one, and a request sent on it is lost without proof that it did not run.
     pub max_idle: Duration,
+    /// Whether the request may run more than once. One that may not is sent only where no response
+    /// to another request can be taken for its own.
+    pub kind: RetrySafety,
     /// Time from which the call must not be sent any more.
     pub send_before: Time,
 }
--- a/crates/port/src/http_pool.rs
+++ b/crates/port/src/http_pool.rs
@@ -12,6 +12,7 @@
 };
 
 use bytes::Bytes;
+use chestnut_book::RetrySafety;
 use chestnut_unit::{LeafId, Time, lock};
 use displaydoc::Display;
 use http_body_util::Full;
@@ -96,6 +97,7 @@
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
     head: HeadBudget,
+    responses: Responses,
     task: AbortHandle,
     since: Time,
     expires: Time,
@@ -217,7 +219,7 @@
     }
 
     /// Takes the connection released last from the pool, or opens one. Closes those it finds
-    /// broken, expired or idle for more than `max_idle` of the call. Fails with
+    /// broken, expired, of no use for the call's kind, or idle for more than `max_idle` of the call. Fails with
     /// `AtCapacity` at its `max_connections`, and `Unsent` if none can be opened.
     async fn checkout(&self, call: &LeafCall) -> Result<Checkout, ExchangeError> {
         let leaf = &call.leaf;
@@ -230,12 +232,14 @@
                 .or_insert_with(|| Conns::new(generations.fetch_add(1, Ordering::Relaxed)));
             let generation = conns.generation;
             while let Some(idle) = conns.idle.pop() {
-                let usable = idle.sender.is_ready() && now < idle.expires;
+                let usable =
+                    idle.sender.is_ready() && now < idle.expires && idle.responses.suit(call.kind);
                 if usable && now.since(idle.since) <= call.max_idle {
                     let slot = Slot::new(self, leaf, generation, Some(idle.task));
                     return Ok(Checkout {
                         sender: idle.sender,
                         head: idle.head,
+                        responses: idle.responses,
                         reused: true,
                         slot,
                     });
@@ -257,6 +261,7 @@
                 Ok(Checkout {
                     sender,
                     head,
+                    responses: Responses::Identified,
                     reused: false,
                     slot,
                 })
@@ -362,10 +367,31 @@
     }
 }
 
+/// Whether the responses on a connection name the requests that they belong to.
+///
+/// A back end may send a response twice. The copy comes where the next response is expected, and
+/// without a name it counts for the next request: a refusal then says of a request that runs that
+/// it has not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Responses {
+    /// All have named their request.
+    Identified,
+    /// At least one has not.
+    Anonymous,
+}
+
+impl Responses {
+    /// Whether a request of this kind may follow on the connection.
+    fn suit(self, kind: RetrySafety) -> bool {
+        self == Self::Identified || kind == RetrySafety::Idempotent
+    }
+}
+
 /// A connection in use by one exchange. `reused` tells whether it came from the pool.
 struct Checkout {
     sender: SendRequest<Full<Bytes>>,
     head: HeadBudget,
+    responses: Responses,
     reused: bool,
     slot: Slot,
 }
@@ -381,15 +407,16 @@
 }
 
 impl Exchange {
-    /// Yields the response and returns the connection to the pool, or closes it if the
-    /// leaf's pool was dropped since. It expires after the response's `Keep-Alive` timeout,
+    /// Yields the response, which may name its request or not (`response`), and returns the
+    /// connection to the pool, or closes it if the leaf's pool was dropped since. It expires after the response's `Keep-Alive` timeout,
     /// or else the configured idle timeout, less half a second.
     #[must_use]
-    pub fn release(self) -> Response<Message> {
+    pub fn release(self, response: Responses) -> Response<Message> {
         let Self { answer, checkout } = self;
         let Checkout {
             sender,
             head,
+            responses,
             mut slot,
             ..
         } = checkout;
@@ -411,6 +438,7 @@
         conns.idle.push(Idle {
             sender,
             head,
+            responses: responses.max(response),
             task,
             since: now,
             expires,
--- a/crates/port/src/lib.rs
+++ b/crates/port/src/lib.rs
@@ -65,7 +65,9 @@
 pub use forward::{Forward, ForwardedRequest, LeafCall, LeafFailure, LeafReply, Listening};
 pub use hop_by_hop::strip_hop_by_hop;
 pub use http::{HttpClient, HttpError, HttpReply};
-pub use http_pool::{Exchange, ExchangeError, HttpPool, HttpPoolConfig, check_listening};
+pub use http_pool::{
+    Exchange, ExchangeError, HttpPool, HttpPoolConfig, Responses, check_listening,
+};
 pub use json::LeafAnswer;
 pub use malformed::{LoggedObjects, MalformedObject};
 pub use memory::{Client, ClientLoss, Memory};
--- a/crates/relay/src/leaf_calls.rs
+++ b/crates/relay/src/leaf_calls.rs
@@ -94,6 +94,7 @@
             request: self.message.clone(),
             timeout: request.time_left,
             max_connections,
+            kind: self.kind,
             max_idle: match self.kind {
                 RetrySafety::Idempotent => Duration::MAX,
                 RetrySafety::Once => ONCE_IDLE_MAX,
